--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+READY := $(VENV)/.ready
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: demo test lint bench soak
+
+$(READY): pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: $(READY)
+	$(PYTHON) -m standins demo
+
+test: $(READY)
+	$(PYTHON) -m pytest
+
+lint: $(READY)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/lint-imports
+
+bench: $(READY)
+	$(PYTHON) -m bench all --seed $(SEED)
+
+soak: $(READY)
+	$(PYTHON) -m bench soak --seed $(SEED) --minutes $(MINUTES)
--- /dev/null
+++ b/ragwortlug/actor.py
@@ -0,0 +1,60 @@
+"""Actors: tasks that own their state and take messages from an inbox."""
+
+import asyncio
+
+from ragwortlug.telemetry.logs import logger
+
+
+class Actor:
+    """A task with an inbox.
+
+    A part registers a handler for each kind of message, and whoever wants
+    something of it posts a message. Handlers run one after the other.
+
+    Parameters
+    ----------
+    name : str
+        The prefix of the part's log lines.
+    metrics : Metrics
+        Counts handlers that raised.
+    """
+
+    def __init__(self, name, metrics):
+        self._inbox = asyncio.Queue()
+        self._handlers = {}
+        self._metrics = metrics
+        self._task = None
+        self._log = logger(name)
+
+    @property
+    def backlog(self):
+        """Return the number of messages that wait in the inbox."""
+        return self._inbox.qsize()
+
+    def handle(self, kind, handler):
+        """Call ``handler(sender, message)`` for messages of a kind."""
+        self._handlers[kind] = handler
+
+    def post(self, sender, message):
+        """Put a message into the inbox."""
+        self._inbox.put_nowait((sender, message))
+
+    async def start(self):
+        """Begin to take messages."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self):
+        """Take no more messages."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self):
+        """Handle messages as they come; one that fails harms no other."""
+        while True:
+            sender, message = await self._inbox.get()
+            kind = type(message)
+            try:
+                self._handlers[kind](sender, message)
+            except Exception:
+                self._metrics.count("handler_errors", kind.__name__)
+                self._log.exception("A {} could not be handled.", kind.__name__)
--- /dev/null
+++ b/ragwortlug/agent.py
@@ -0,0 +1,333 @@
+"""The agent: home for its share of the jobs, and runner of tasks on its target."""
+
+import asyncio
+from dataclasses import dataclass
+
+from msgspec import structs
+
+from ragwortlug.actor import Actor
+from ragwortlug.io.operators import answer_spans
+from ragwortlug.io.targets import NotStarted, task_id
+from ragwortlug.jobs.runner import StartTask
+from ragwortlug.messages import (
+    Cancel,
+    Fetch,
+    Finished,
+    Grant,
+    Handover,
+    HandoverTaken,
+    Load,
+    Nothing,
+    Probe,
+    Pull,
+    Refused,
+    Send,
+    Spans,
+    Stop,
+    Submit,
+    Waiting,
+)
+from ragwortlug.model import Announcement
+
+TICK_S = 0.1
+LEAVE_CHECK_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Some time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """The view has changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The agent is to stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """The home's records are to be handed over."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """A call to the target has ended."""
+
+    start: StartTask
+    outcome: object
+    run_ms: float
+
+
+class HomeActor(Actor):
+    """The task that owns the home.
+
+    Parameters
+    ----------
+    home : Home
+        The decisions.
+    keeper, peers, timer, metrics, traces
+        The services of those names.
+    """
+
+    def __init__(self, home, keeper, peers, timer, metrics, traces):
+        super().__init__("home", metrics)
+        self._home = home
+        self._keeper = keeper
+        self._peers = peers
+        self._timer = timer
+        self._traces = traces
+        timed = {
+            Pull: home.pull,
+            Refused: home.refused,
+            Load: home.load,
+        }
+        dated = {
+            Submit: self._submit,
+            Cancel: home.cancel,
+            Finished: home.finished,
+        }
+        for kind, decide in timed.items():
+            self._serve(kind, decide, lambda: (timer.monotonic(),))
+        for kind, decide in dated.items():
+            self._serve(kind, decide, lambda: (timer.monotonic(), timer.unix_ms()))
+        self._serve(Fetch, home.fetch, tuple)
+        self._serve(Handover, home.take_over, lambda: (timer.unix_ms(),))
+        self.handle(HandoverTaken, lambda _, each: home.taken_over(each))
+        peers.handle(HandoverTaken, self.post)
+        self.handle(Tick, lambda *_: self._event(home.tick))
+        self.handle(ViewChanged, lambda *_: self._event(home.view_changed))
+        self.handle(HandOver, lambda *_: peers.send_all(home.hand_over()))
+        metrics.gauge("open_jobs", lambda: home.open_jobs)
+        metrics.gauge("queued_tasks", lambda: home.queued_tasks)
+        metrics.gauge("kept_answers", lambda: home.kept_answers)
+        metrics.gauge("late_grant_replies", lambda: home.late_replies)
+
+    @property
+    def idle(self):
+        """Return whether no job is open and no message waits."""
+        return not self._home.open_jobs and not self.backlog
+
+    @property
+    def handing_over(self):
+        """Return whether records are on their way to heirs."""
+        return self._home.handing_over or self.backlog > 0
+
+    async def start(self):
+        """Begin to serve."""
+        await super().start()
+        self._keeper.changes.subscribe(lambda _: self.post(None, ViewChanged()))
+        self._timer.every(TICK_S, lambda: self.post(None, Tick()))
+
+    def _submit(self, sender, message, now, now_ms):
+        """Tell the home of a submission, inside a span if it is traced."""
+        with self._traces.span("home", message.job.id, message.trace) as context:
+            traced = structs.replace(message, trace=context)
+            return self._home.submit(sender, traced, now, now_ms)
+
+    def _serve(self, kind, decide, times):
+        """Answer messages of a kind by a decision of the home."""
+
+        def handler(sender, message):
+            self._peers.send_all(decide(sender, message, *times()))
+
+        self.handle(kind, handler)
+        self._peers.handle(kind, self.post)
+
+    def _event(self, decide):
+        """Tell the home of an event."""
+        now, now_ms = self._timer.monotonic(), self._timer.unix_ms()
+        self._peers.send_all(decide(now, now_ms))
+
+
+class RunnerActor(Actor):
+    """The task that owns the runner, and the calls to the target.
+
+    Parameters
+    ----------
+    runner : Runner
+        The decisions.
+    client : TargetClient
+        Carries out the starts.
+    keeper, peers, timer, metrics, traces
+        The services of those names.
+    """
+
+    def __init__(self, runner, client, keeper, peers, timer, metrics, traces):
+        super().__init__("runner", metrics)
+        self._runner = runner
+        self._client = client
+        self._keeper = keeper
+        self._peers = peers
+        self._timer = timer
+        self._traces = traces
+        self._calls = set()
+        decisions = {
+            Grant: runner.grant,
+            Waiting: runner.waiting,
+            Nothing: runner.nothing,
+            Probe: runner.probe,
+            Stop: runner.stop,
+        }
+        for kind, decide in decisions.items():
+            self._serve(kind, decide)
+        self.handle(Tick, lambda *_: self._event(runner.tick))
+        self.handle(Leave, lambda *_: self._event(runner.leave))
+        self.handle(ViewChanged, lambda *_: self._perform(self._rule_stops()))
+        self.handle(TaskEnded, lambda _, each: self._ended(each))
+        self.handle(Announcement, lambda _, each: self._announced(each))
+        keeper.offer(lambda: runner.capacity(timer.monotonic()))
+        metrics.gauge("running_tasks", lambda: runner.running)
+        metrics.gauge("free_slots", lambda: runner.free(timer.monotonic()))
+        metrics.gauge("target_resting", lambda: int(runner.resting))
+
+    @property
+    def idle(self):
+        """Return whether nothing runs and no message waits."""
+        return not self._runner.running and not self.backlog
+
+    async def start(self):
+        """Begin to serve."""
+        await super().start()
+        self._keeper.changes.subscribe(lambda _: self.post(None, ViewChanged()))
+        self._timer.every(TICK_S, lambda: self.post(None, Tick()))
+        self._peers.handle(
+            Spans,
+            lambda sender, each: answer_spans(self._peers, self._traces, sender, each),
+        )
+
+    async def stop(self):
+        """End the calls to the target."""
+        for call in self._calls:
+            call.cancel()
+        await super().stop()
+
+    def _serve(self, kind, decide):
+        """Answer messages of a kind by a decision of the runner."""
+
+        def handler(sender, message):
+            self._perform(decide(sender, message, self._timer.monotonic()))
+
+        self.handle(kind, handler)
+        self._peers.handle(kind, self.post)
+
+    def _event(self, decide):
+        """Tell the runner of an event."""
+        self._perform(decide(self._timer.monotonic()))
+
+    def _announced(self, announcement):
+        """Take the target's announcement; news of it is not kept waiting."""
+        now = self._timer.monotonic()
+        before = self._runner.capacity(now)
+        self._perform(self._runner.announce(announcement, now))
+        if self._runner.capacity(now) != before:
+            self._keeper.poll()
+
+    def _perform(self, effects):
+        """Carry out effects."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._peers.send(effect.to, effect.body)
+            elif isinstance(effect, StartTask):
+                self._call(self._run_task(effect))
+            else:
+                self._call(self._client.halt(task_id(effect), effect.url))
+
+    def _call(self, coroutine):
+        """Make a call to the target in a task of its own."""
+        call = asyncio.create_task(coroutine)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _run_task(self, start):
+        """Run a task on the target and post how it ended."""
+        began = self._timer.monotonic()
+        grant = start.grant
+        with self._traces.span("target", grant.job_id, grant.trace):
+            outcome = await self._client.run(start)
+        elapsed = self._timer.monotonic() - began
+        self._metrics.time("task", elapsed)
+        self.post(None, TaskEnded(start, outcome, elapsed * 1000))
+
+    def _ended(self, event):
+        """Record how a call to the target ended."""
+        now = self._timer.monotonic()
+        key = event.start.key
+        outcome = event.outcome
+        if isinstance(outcome, NotStarted):
+            self._metrics.count("starts_refused", outcome.code.name)
+            effects = self._runner.unstarted(key, outcome.code, now)
+        else:
+            self._metrics.count("tasks_ended", str(outcome.code))
+            effects = self._runner.ended(
+                key, outcome.code, outcome.result, outcome.detail, event.run_ms, now
+            )
+        self._perform(effects)
+
+    def _rule_stops(self):
+        """Return the effects that stop what a rule says must stop."""
+        configuration = self._keeper.view.configuration
+
+        def stopped(grant):
+            rule = configuration.rule_for(grant.team, grant.service, grant.tasks)
+            return rule is not None and rule.action == "stop"
+
+        return self._runner.stopping(stopped)
+
+
+class AgentShutdown:
+    """The graceful shutdown of an agent.
+
+    Parameters
+    ----------
+    home, runner : HomeActor, RunnerActor
+        Finish their work first.
+    keeper, timer
+        The services of those names.
+    """
+
+    def __init__(self, home, runner, keeper, timer):
+        self._home = home
+        self._runner = runner
+        self._keeper = keeper
+        self._timer = timer
+
+    async def run(self, limit_s):
+        """Leave the roster, finish, hand over; give up after `limit_s`."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._leave()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _leave(self):
+        """Carry out the steps in their order."""
+        self._keeper.leaving = True
+        self._runner.post(None, Leave())
+        await self._until(self._departed)
+        await self._until(lambda: self._home.idle and self._runner.idle)
+        self._home.post(None, HandOver())
+        await self._until(lambda: not self._home.handing_over)
+        self._keeper.handed_over = True
+        await self._until(self._acknowledged)
+
+    async def _until(self, holds):
+        """Wait until a condition holds."""
+        while not holds():
+            await asyncio.sleep(LEAVE_CHECK_S)
+
+    def _departed(self):
+        """Return whether the roster has no more births for this agent."""
+        now_ms = self._timer.unix_ms()
+        return all(
+            not each.present and each.until_ms <= now_ms
+            for each in self._keeper.own_members
+        )
+
+    def _acknowledged(self):
+        """Return whether the roster says that the records are handed over."""
+        return all(each.handed_over for each in self._keeper.own_members)
--- /dev/null
+++ b/ragwortlug/cli.py
@@ -0,0 +1,369 @@
+"""The command line: daemons, callers' commands and operators' commands."""
+
+import argparse
+import asyncio
+import json
+import sys
+import time
+import uuid
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from ragwortlug import __version__
+from ragwortlug.client import Client
+from ragwortlug.codes import Code, Verdict
+from ragwortlug.compose import compose_agent, compose_entry
+from ragwortlug.daemon import serve
+from ragwortlug.errors import RagwortlugError, RequestError, SettingsError
+from ragwortlug.model import Task
+from ragwortlug.settings import AgentSettings, EntrySettings, load
+from ragwortlug.telemetry.logs import set_up
+from ragwortlug.view.note import ReleaseNote
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_NOT_RUN = 3
+EXIT_UNKNOWN = 4
+EXIT_SETTINGS = 5
+EXIT_UNREACHABLE = 6
+
+EXIT_CODES = {
+    Verdict.DONE: EXIT_OK,
+    Verdict.ACCEPTED: EXIT_OK,
+    Verdict.FAILED: EXIT_FAILED,
+    Verdict.NOT_RUN: EXIT_NOT_RUN,
+    Verdict.UNKNOWN: EXIT_UNKNOWN,
+}
+WAIT_STEP_S = 0.1
+
+EXAMPLES = """\
+examples:
+  ragwortlug entry --settings examples/gyanbhandar/entry-1.json
+  ragwortlug submit --team kitchen --service mould-carving '{"run_ms": 80}'
+  ragwortlug note submit note.json && ragwortlug note wait 3
+  ragwortlug drain patan
+  ragwortlug trace 01890a5d-ac96-774b-bcce-b302099a8057
+
+exit codes:
+  0 done, 1 failed, 2 wrong usage, 3 not run, 4 outcome unknown,
+  5 settings not valid, 6 no entry reached
+"""
+
+
+def main(arguments=None):
+    """Run the command line and return its exit code."""
+    parsed = _parser().parse_args(arguments)
+    try:
+        return parsed.run(parsed)
+    except SettingsError as error:
+        return _fail(error, EXIT_SETTINGS)
+    except RagwortlugError as error:
+        return _fail(error, EXIT_CODES[error.code.verdict])
+    except (aiohttp.ClientError, ConnectionError) as error:
+        return _fail(error, EXIT_UNREACHABLE)
+    except KeyboardInterrupt:
+        return EXIT_FAILED
+
+
+# Daemons.
+
+
+def _run_entry(parsed):
+    settings = load(parsed.settings, EntrySettings)
+    set_up(settings.log, f"entry {settings.address}")
+    return asyncio.run(_serve(compose_entry, settings))
+
+
+def _run_agent(parsed):
+    settings = load(parsed.settings, AgentSettings)
+    set_up(settings.log, f"agent {settings.address}")
+    return asyncio.run(_serve(compose_agent, settings))
+
+
+async def _serve(compose, settings):
+    return await serve(compose(settings))
+
+
+# Callers' commands.
+
+
+def _submit(parsed):
+    tasks = tuple(Task(payload=_json(each)) for each in parsed.payload)
+
+    async def run(client):
+        job_id = parsed.id or None
+        return await client.submit(
+            parsed.service, tasks, job_id, parsed.deadline_ms, parsed.trace
+        )
+
+    return _answer(parsed, run)
+
+
+def _fetch(parsed):
+    return _answer(parsed, lambda client: client.fetch(parsed.id, not parsed.no_wait))
+
+
+def _cancel(parsed):
+    return _answer(parsed, lambda client: client.cancel(parsed.id))
+
+
+def _answer(parsed, run):
+    """Carry out a caller's command and print the answer."""
+    answer = asyncio.run(_with_client(parsed, run))
+    code = Code(answer.code)
+    if parsed.json:
+        print(msgspec.json.encode(answer).decode())
+    else:
+        print(f"{answer.id}: [{int(code)}] {code.verdict}: {code.meaning}")
+        for index, task in enumerate(answer.tasks):
+            print(f"  task {index}: [{task.code}] {json.dumps(task.result)}")
+    return EXIT_CODES[code.verdict]
+
+
+# Operators' commands.
+
+
+def _note_check(parsed):
+    return _post_note(parsed, "/notes/check", _read_note(parsed.file))
+
+
+def _note_submit(parsed):
+    return _post_note(parsed, "/notes", _read_note(parsed.file))
+
+
+def _note_show(parsed):
+    return _show(parsed, f"/notes/{parsed.id}")
+
+
+def _note_history(parsed):
+    return _show(parsed, "/notes")
+
+
+def _note_wait(parsed):
+    async def run(client):
+        until = time.monotonic() + parsed.timeout
+        while True:
+            path = f"/configuration/in-force?version={parsed.version}"
+            reply = await client.get(path)
+            if reply["in_force"] or time.monotonic() > until:
+                return reply
+            await asyncio.sleep(WAIT_STEP_S)
+
+    reply = asyncio.run(_with_client(parsed, run))
+    _print(parsed, reply)
+    return EXIT_OK if reply["in_force"] else EXIT_UNKNOWN
+
+
+def _status(parsed):
+    return _show(parsed, "/status")
+
+
+def _trace(parsed):
+    spans = asyncio.run(_with_client(parsed, lambda c: c.get(f"/traces/{parsed.id}")))
+    if parsed.json:
+        print(json.dumps(spans))
+    else:
+        print_trace(spans)
+    return EXIT_OK if spans else EXIT_FAILED
+
+
+def print_trace(spans):
+    """Print the spans of a job, one a line, indented below their parents."""
+    depth = {}
+    start_ms = min((each["start_ms"] for each in spans), default=0)
+    for span in spans:
+        level = depth.get(span["parent"], -1) + 1
+        depth[span["span"]] = level
+        offset_ms = span["start_ms"] - start_ms
+        print(
+            f"{offset_ms:9.2f} ms {span['duration_ms']:9.2f} ms  "
+            f"{'  ' * level}{span['name']} ({span['process']})"
+        )
+
+
+def _drain(parsed):
+    return _change_data_centre(parsed, False)
+
+
+def _restore(parsed):
+    return _change_data_centre(parsed, True)
+
+
+def _change_data_centre(parsed, in_service):
+    """Write and submit the note that takes a data centre out or back."""
+
+    async def run(client):
+        configuration = await client.get("/configuration")
+        verb = "restore" if in_service else "drain"
+        return await client.post(
+            "/notes",
+            {
+                "id": f"{verb}-{parsed.data_centre}-{uuid.uuid4().hex[:8]}",
+                "base": configuration["version"],
+                "changed": {
+                    "data_centres": [
+                        {"name": parsed.data_centre, "in_service": in_service}
+                    ]
+                },
+            },
+        )
+
+    return _note_result(parsed, asyncio.run(_with_client(parsed, run)))
+
+
+def _post_note(parsed, path, note):
+    """Send a note to a path and print what became of it."""
+    reply = asyncio.run(_with_client(parsed, lambda c: c.post(path, note)))
+    return _note_result(parsed, reply)
+
+
+def _note_result(parsed, reply):
+    """Print what became of a note."""
+    code = Code(reply["code"])
+    if parsed.json:
+        print(json.dumps(reply))
+    else:
+        print(f"[{int(code)}] {code.meaning} Version {reply.get('version')} holds.")
+        for reason in reply.get("reasons", ()):
+            print(f"  {reason}")
+    return EXIT_CODES[code.verdict]
+
+
+def _show(parsed, path):
+    """Print what an entry serves at a path."""
+    reply = asyncio.run(_with_client(parsed, lambda client: client.get(path)))
+    _print(parsed, reply)
+    failed = isinstance(reply, dict) and "verdict" in reply
+    return EXIT_NOT_RUN if failed else EXIT_OK
+
+
+# Helpers.
+
+
+def _read_note(path):
+    """Return the release note in a file, or raise `RequestError`."""
+    try:
+        raw = sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
+        return msgspec.json.decode(raw, type=ReleaseNote)
+    except OSError as error:
+        raise RequestError(f"{path}: {error.strerror}", Code.BAD_FIELD) from error
+    except msgspec.ValidationError as error:
+        raise RequestError(f"{path}: {error}", Code.BAD_FIELD) from error
+    except msgspec.DecodeError as error:
+        raise RequestError(f"{path}: {error}", Code.BAD_JSON) from error
+
+
+def _json(text):
+    """Return the JSON in an argument, or raise `RequestError`."""
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        raise RequestError(f"{text!r}: {error}", Code.BAD_JSON) from error
+
+
+async def _with_client(parsed, run):
+    """Call `run` with a client of the entries that were named."""
+    async with Client(parsed.entry, getattr(parsed, "team", "")) as client:
+        return await run(client)
+
+
+def _print(parsed, value):
+    """Print a value as JSON, in one line with ``--json``."""
+    print(json.dumps(value, indent=None if parsed.json else 2))
+
+
+def _fail(error, code):
+    """Print an error and return the exit code."""
+    print(f"ragwortlug: {error}", file=sys.stderr)
+    return code
+
+
+def _parser():
+    """Return the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="ragwortlug",
+        description="A dispatcher for sub-second tasks.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_daemons(commands)
+    _add_caller_commands(commands)
+    _add_operator_commands(commands)
+    return parser
+
+
+def _add_daemons(commands):
+    """Add the commands that run daemons."""
+    for name, run in (("entry", _run_entry), ("agent", _run_agent)):
+        command = commands.add_parser(name, help=f"run an {name}")
+        command.add_argument("--settings", required=True, help="a JSON file")
+        command.set_defaults(run=run)
+
+
+def _add_caller_commands(commands):
+    """Add the commands of callers."""
+    submit = _command(commands, "submit", _submit, "run a job and print its answer")
+    submit.add_argument("--team", required=True)
+    submit.add_argument("--service", required=True)
+    submit.add_argument("--id", default="", help="a UUID of version 7")
+    submit.add_argument("--deadline-ms", type=int, default=0)
+    submit.add_argument("--trace", action="store_true", help="record spans")
+    submit.add_argument("payload", nargs="+", help="JSON, one a task")
+    fetch = _command(commands, "fetch", _fetch, "print the answer to a job")
+    fetch.add_argument("--no-wait", action="store_true")
+    cancel = _command(commands, "cancel", _cancel, "give up a job")
+    for command in (fetch, cancel):
+        command.add_argument("--team", required=True)
+        command.add_argument("id")
+
+
+def _add_operator_commands(commands):
+    """Add the commands of operators."""
+    note = commands.add_parser("note", help="release notes")
+    notes = note.add_subparsers(required=True, metavar="ACTION")
+    check = _command(notes, "check", _note_check, "say if a note would be accepted")
+    submit = _command(notes, "submit", _note_submit, "commit a note")
+    for command in (check, submit):
+        command.add_argument("file", help="a JSON file, or - for standard input")
+    show = _command(notes, "show", _note_show, "print an accepted note")
+    show.add_argument("id")
+    _command(notes, "history", _note_history, "print all accepted notes")
+    wait = _command(notes, "wait", _note_wait, "wait until a version is in force")
+    wait.add_argument("version", type=int)
+    wait.add_argument("--timeout", type=float, default=10.0, help="seconds")
+    _command(commands, "status", _status, "print the roster and its freshness")
+    trace = _command(commands, "trace", _trace, "print the spans of a job")
+    trace.add_argument("id")
+    for name, run in (("drain", _drain), ("restore", _restore)):
+        text = "take a data centre out" if name == "drain" else "bring it back"
+        _command(commands, name, run, text).add_argument("data_centre")
+
+
+def _command(commands, name, run, text):
+    """Add a command that talks to an entry."""
+    command = commands.add_parser(name, help=text, description=text)
+    command.add_argument(
+        "--entry",
+        action="append",
+        default=None,
+        help="URL of an entry; may be given more than once "
+        "(default http://127.0.0.1:8101)",
+    )
+    command.add_argument("--json", action="store_true", help="print one line of JSON")
+    command.set_defaults(run=lambda parsed: run(_with_default_entry(parsed)))
+    return command
+
+
+def _with_default_entry(parsed):
+    """Return the arguments with an entry named."""
+    parsed.entry = parsed.entry or ["http://127.0.0.1:8101"]
+    return parsed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ragwortlug/client.py
@@ -0,0 +1,156 @@
+"""The callers' client: submits jobs, and resubmits them safely to other entries."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+
+from ragwortlug.codes import Code
+from ragwortlug.errors import RagwortlugError
+from ragwortlug.model import Answer, Job, Task, TaskOutcome, new_job_id
+
+TRIES = 4
+PAUSE_S = 0.2
+TRANSIENT = frozenset(
+    {Code.HOME_CHANGING, Code.NO_HOME, Code.HOME_UNCONFIRMED, Code.INTERNAL}
+)
+
+_encoder = msgspec.json.Encoder()
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyTask:
+    """One task in the body of a reply."""
+
+    code: int
+    result: object = None
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyBody:
+    """The body of an entry's reply to a job."""
+
+    code: int
+    id: str = ""
+    detail: str = ""
+    reasons: tuple[str, ...] = field(default_factory=tuple)
+    tasks: tuple[ReplyTask, ...] = field(default_factory=tuple)
+
+
+_replies = msgspec.json.Decoder(ReplyBody)
+
+
+class Client:
+    """A caller's connection to the entries.
+
+    Parameters
+    ----------
+    entries : sequence of str
+        URLs of entries or of the balancer before them.
+    team : str
+        The team that the caller acts for.
+
+    Examples
+    --------
+    >>> async with Client(["http://127.0.0.1:8101"], "mould-carving") as client:
+    ...     answer = await client.submit("previews", [{"pattern": "lotus"}])
+    """
+
+    def __init__(self, entries, team):
+        self._entries = list(entries)
+        self._team = team
+        self._turn = 0
+        self._session = None
+
+    async def __aenter__(self):
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        await self._session.close()
+
+    async def submit(self, service, payloads, job_id=None, deadline_ms=0, trace=False):
+        """Run one task for each payload and return the whole `Answer`.
+
+        The same id makes a resubmission idempotent; connections that break are
+        tried again at another entry with the same id.
+        """
+        tasks = tuple(
+            each if isinstance(each, Task) else Task(payload=each) for each in payloads
+        )
+        job = Job(job_id or new_job_id(), self._team, service, tasks, deadline_ms)
+        return await self.submit_job(job, trace)
+
+    async def submit_job(self, job, trace=False):
+        """Run a job and return its `Answer`; unknown if no entry can tell."""
+        query = "?trace=1" if trace else ""
+        answer = None
+        for _ in range(TRIES):
+            try:
+                answer = await self._call("POST", f"/jobs{query}", job)
+            except (aiohttp.ClientError, ConnectionError) as error:
+                detail = f"{type(error).__name__}: {error}"
+                answer = Answer(job.id, int(Code.OUTCOME_UNKNOWN), (), detail)
+            else:
+                if answer.code not in TRANSIENT:
+                    return answer
+            await asyncio.sleep(PAUSE_S)
+        return answer
+
+    async def fetch(self, job_id, wait=True):
+        """Return the answer to a job submitted before."""
+        return await self._call("GET", self._job_path(job_id, wait))
+
+    async def cancel(self, job_id):
+        """Give up a job and return what became of it."""
+        return await self._call("DELETE", self._job_path(job_id, True))
+
+    async def get(self, path):
+        """Return the decoded JSON that an entry serves at a path."""
+        async with self._session.get(self._next_entry() + path) as response:
+            return msgspec.json.decode(await response.read())
+
+    async def post(self, path, body):
+        """Post a JSON body to an entry and return the decoded reply."""
+        url = self._next_entry() + path
+        async with self._session.post(url, data=_encoder.encode(body)) as response:
+            return msgspec.json.decode(await response.read())
+
+    def _job_path(self, job_id, wait):
+        """Return the path of a job."""
+        return f"/jobs/{job_id}?team={self._team}&wait={int(wait)}"
+
+    def _next_entry(self):
+        """Return the entry whose turn it is."""
+        self._turn += 1
+        return self._entries[self._turn % len(self._entries)]
+
+    async def _call(self, method, path, body=None):
+        """Make a request about a job and return the answer."""
+        data = None if body is None else _encoder.encode(body)
+        url = self._next_entry() + path
+        async with self._session.request(method, url, data=data) as response:
+            raw = await response.read()
+        try:
+            reply = _replies.decode(raw)
+        except msgspec.DecodeError as error:
+            raise RagwortlugError(f"{url} gave no reply: {error}") from error
+        tasks = tuple(
+            TaskOutcome(each.code, each.result, each.detail) for each in reply.tasks
+        )
+        return Answer(reply.id, reply.code, tasks, reply.detail)
+
+
+def submit(entries, team, service, payloads, **options):
+    """Submit one job, wait for it and return its `Answer`; a shorthand."""
+
+    async def run():
+        async with Client(entries, team) as client:
+            return await client.submit(service, payloads, **options)
+
+    return asyncio.run(run())
--- /dev/null
+++ b/ragwortlug/entry.py
@@ -0,0 +1,41 @@
+"""The entry: callers' and operators' door, and the only role at the store."""
+
+import asyncio
+
+DRAIN_CHECK_S = 0.05
+
+
+class EntryShutdown:
+    """The graceful shutdown of an entry.
+
+    Parameters
+    ----------
+    keeper, relay, operators, timer
+        The services of those names.
+    drain_s : float
+        How long the balancer gets to notice that the entry is not ready.
+    """
+
+    def __init__(self, keeper, relay, operators, timer, drain_s):
+        self._keeper = keeper
+        self._relay = relay
+        self._operators = operators
+        self._timer = timer
+        self._drain_s = drain_s
+
+    async def run(self, limit_s):
+        """Turn callers away by readiness, then finish; give up after `limit_s`."""
+        self._operators.serving = False
+        try:
+            async with asyncio.timeout(limit_s):
+                await asyncio.sleep(self._drain_s)
+                self._keeper.leaving = True
+                while self._relay.pending or not self._departed():
+                    await asyncio.sleep(DRAIN_CHECK_S)
+        except TimeoutError:
+            return False
+        return True
+
+    def _departed(self):
+        """Return whether the roster has let this entry go."""
+        return not any(each.present for each in self._keeper.own_members)
--- /dev/null
+++ b/ragwortlug/errors.py
@@ -0,0 +1,72 @@
+"""The exception tree; each exception carries its numbered result code."""
+
+from ragwortlug.codes import Code
+
+
+class RagwortlugError(Exception):
+    """Any error raised by this package.
+
+    Attributes
+    ----------
+    code : Code
+        The numbered result.
+    detail : str
+        What was given and what is wanted.
+    """
+
+    code = Code.INTERNAL
+
+    def __init__(self, detail="", code=None):
+        self.code = self.code if code is None else code
+        self.detail = detail or self.code.meaning
+        super().__init__(f"[{int(self.code)}] {self.detail}")
+
+
+class SettingsError(RagwortlugError):
+    """The settings file is not valid."""
+
+    code = Code.BAD_SETTINGS
+
+
+class RequestError(RagwortlugError):
+    """A request from outside can't be served as given."""
+
+    code = Code.BAD_FIELD
+
+
+class MessageError(RagwortlugError):
+    """Bytes on an inner port are no message."""
+
+    code = Code.BAD_MESSAGE
+
+
+class NoteError(RagwortlugError):
+    """A release note is refused.
+
+    Attributes
+    ----------
+    reasons : tuple of str
+        Every reason, not just the first.
+    """
+
+    code = Code.NOTE_REFUSED
+
+    def __init__(self, reasons, code=None):
+        self.reasons = tuple(reasons)
+        super().__init__("; ".join(self.reasons), code)
+
+
+class StoreError(RagwortlugError):
+    """The store did not carry out a call."""
+
+    code = Code.STORE_UNAVAILABLE
+
+
+class StoreAnswerLostError(StoreError):
+    """The store's answer is lost; a write may have taken effect."""
+
+    code = Code.NOTE_UNKNOWN
+
+
+class InvariantError(RagwortlugError):
+    """An invariant of the program does not hold."""
--- /dev/null
+++ b/ragwortlug/invariants.py
@@ -0,0 +1,48 @@
+"""Invariants: the conditions that must hold in every run, checked as it goes.
+
+Checks are always on in tests. In production the setting ``check_invariants``
+turns them off; a broken one raises `InvariantError` in the task that found it.
+"""
+
+import enum
+
+from ragwortlug.errors import InvariantError
+
+
+class Invariant(enum.StrEnum):
+    """The name of each invariant, for logs and for docs/promises.md."""
+
+    START_ONCE = "a task is started at most once"
+    START_CONFIRMED = "a start happens under a confirmed view that permits it"
+    ANSWER_WHOLE = "an answer is complete or failed"
+    ANSWER_FINAL = "an answer given never changes"
+    NOT_RUN_TRUE = "a task reported as not run was never started"
+    VERSION_RISES = "a view never reverts"
+    SLOTS_BOUND = "an agent runs at most as many tasks as it has slots"
+    REPLY_MATCHES = "an answer goes to the request that it names"
+
+
+_enabled = True
+
+
+def enable(on):
+    """Turn checking on or off for this process."""
+    global _enabled
+    _enabled = bool(on)
+
+
+def check(invariant, holds, **facts):
+    """Raise `InvariantError` if the condition does not hold.
+
+    Parameters
+    ----------
+    invariant : Invariant
+        Which condition is meant.
+    holds : bool
+        Whether it holds.
+    **facts
+        What the error shows.
+    """
+    if _enabled and not holds:
+        shown = ", ".join(f"{name}={value!r}" for name, value in facts.items())
+        raise InvariantError(f"{invariant}: {shown}")
--- /dev/null
+++ b/ragwortlug/io/__init__.py
@@ -0,0 +1,1 @@
+"""I/O: the only package that holds sockets."""
--- /dev/null
+++ b/ragwortlug/io/http.py
@@ -0,0 +1,107 @@
+"""What all HTTP interfaces share: bodies, numbered errors and their JSON."""
+
+import msgspec
+from aiohttp import web
+
+from ragwortlug.codes import Code
+from ragwortlug.errors import RagwortlugError, RequestError
+from ragwortlug.telemetry.logs import logger
+
+KB = 1024
+
+log = logger("http")
+_encoder = msgspec.json.Encoder()
+
+
+def json_response(value, code=Code.OK):
+    """Return a response with a JSON body and the status of the code."""
+    return web.Response(
+        body=_encoder.encode(value),
+        status=code.http_status,
+        content_type="application/json",
+    )
+
+
+def error_body(code, detail="", reasons=()):
+    """Return what the body of a numbered error says."""
+    body = {
+        "code": int(code),
+        "name": code.name,
+        "verdict": code.verdict.value,
+        "meaning": code.meaning,
+    }
+    if detail:
+        body["detail"] = detail
+    if reasons:
+        body["reasons"] = list(reasons)
+    return body
+
+
+def error_response(error):
+    """Return the response that tells an error."""
+    reasons = getattr(error, "reasons", ())
+    return json_response(error_body(error.code, error.detail, reasons), error.code)
+
+
+async def read_body(request, decoder):
+    """Return the decoded body of a request, or raise `RequestError`."""
+    try:
+        raw = await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        limit = request.client_max_size
+        detail = f"the body is over {limit} bytes"
+        raise RequestError(detail, Code.BODY_TOO_LARGE) from error
+    try:
+        return decoder.decode(raw)
+    except msgspec.ValidationError as error:
+        raise RequestError(str(error), Code.BAD_FIELD) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RequestError(str(error), Code.BAD_JSON) from error
+
+
+@web.middleware
+async def numbered_errors(request, handler):
+    """Turn every error into its numbered response."""
+    try:
+        return await handler(request)
+    except RagwortlugError as error:
+        return error_response(error)
+    except web.HTTPException as error:
+        if error.status == Code.NO_SUCH_PATH.http_status:
+            detail = f"{request.method} {request.path}"
+            return error_response(RequestError(detail, Code.NO_SUCH_PATH))
+        raise
+    except Exception as error:
+        log.exception("{} {} failed.", request.method, request.path)
+        return error_response(RagwortlugError(type(error).__name__, Code.INTERNAL))
+
+
+class HttpServer:
+    """An HTTP server with the routes that parts have added.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where to listen.
+    body_limit_kb : int
+        Largest body taken.
+    """
+
+    def __init__(self, host, port, body_limit_kb):
+        self._host = host
+        self._port = port
+        self._runner = None
+        self.app = web.Application(
+            client_max_size=body_limit_kb * KB, middlewares=[numbered_errors]
+        )
+
+    async def start(self):
+        """Begin to listen."""
+        self._runner = web.AppRunner(self.app, access_log=None, shutdown_timeout=5)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._host, self._port, reuse_address=True)
+        await site.start()
+
+    async def stop(self):
+        """Stop listening; requests under way are let finish."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/ragwortlug/io/keeper.py
@@ -0,0 +1,173 @@
+"""The keeper: asks entries for confirmations and keeps this process's view."""
+
+import random
+from dataclasses import replace
+
+from reactivex.subject import Subject
+
+from ragwortlug.messages import Confirmation, News, Peer, Poll, peer_of
+from ragwortlug.telemetry.logs import logger
+from ragwortlug.view.roster import stay_name
+
+UNANSWERED_POLLS = 100
+
+log = logger("view")
+
+
+class ViewKeeper:
+    """Keeps a view fresh by polling.
+
+    Parameters
+    ----------
+    view : View
+        The view to keep.
+    member : Member
+        This process, as it is to stand in the roster.
+    seeds : sequence of str
+        Addresses of entries to begin with.
+    peers, timer, metrics
+        The services of those names.
+    settings : ViewSettings
+        Polling time and the like.
+    vouching : Vouching, optional
+        Is told of other entries' answers.
+    """
+
+    def __init__(
+        self, view, member, seeds, peers, timer, metrics, settings, vouching=None
+    ):
+        self._view = view
+        self._member = member
+        self._incarnation = member.name
+        self._stay = 0
+        self._seeds = [each for each in seeds if each != member.address]
+        self._peers = peers
+        self._timer = timer
+        self._metrics = metrics
+        self._settings = settings
+        self._vouching = vouching
+        self._asked = {}
+        self._next_number = 0
+        self._turn = random.randrange(1 << 16)
+        self._changes = Subject()
+        self._capacity = lambda: None
+        self.leaving = False
+        self.handed_over = False
+
+    @property
+    def view(self):
+        """Return the view."""
+        return self._view
+
+    @property
+    def changes(self):
+        """Return the stream of views, one event for each change."""
+        return self._changes
+
+    @property
+    def member(self):
+        """Return this process as it is to stand in the roster."""
+        name = stay_name(self._incarnation, self._stay)
+        return replace(self._member, name=name, capacity=self._capacity())
+
+    @property
+    def own_members(self):
+        """Return this process's stays that the roster knows."""
+        members = self._view.roster.members
+        return [each for each in members if each.incarnation == self._incarnation]
+
+    def offer(self, capacity):
+        """Ask the function `capacity` what the target here offers."""
+        self._capacity = capacity
+
+    async def start(self):
+        """Begin to poll."""
+        self._peers.handle(Confirmation, self._confirmed)
+        self._peers.handle(News, self._news)
+        self._timer.every(self._settings.poll_s, self.poll)
+        self.poll()
+
+    def poll(self):
+        """Ask entries for a confirmation now."""
+        for address in self._whom_to_ask():
+            self._next_number += 1
+            self._asked[self._next_number] = self._timer.monotonic()
+            poll = Poll(
+                self._next_number,
+                self.member,
+                self._view.versions,
+                self.leaving,
+                self.handed_over,
+            )
+            self._peers.send(Peer(address), poll)
+        while len(self._asked) > UNANSWERED_POLLS:
+            del self._asked[next(iter(self._asked))]
+
+    def learn(self, change):
+        """Take a change of the view from whoever brings it."""
+        news = False
+        if change.configuration is not None:
+            news |= self._view.learn_configuration(change.configuration)
+        if change.roster is not None:
+            news |= self._view.learn_roster(change.roster, self._timer.unix_ms())
+        if news:
+            self._next_stay()
+            versions = self._view.versions
+            log.info(
+                "Configuration {} and roster {} are known.",
+                versions.configuration,
+                versions.roster,
+            )
+            self._changes.on_next(self._view)
+
+    def _whom_to_ask(self):
+        """Return the addresses to poll: all for an entry, else one in turn."""
+        own = self._member.address
+        entries = self._view.roster.present("entry")
+        known = sorted(each.address for each in entries if each.address != own)
+        if self._member.role == "entry":
+            return sorted({*known, *self._seeds})
+        if not known or not self._view.confirmed(self._timer.monotonic()):
+            known = sorted({*known, *self._seeds})
+        self._turn += 1
+        return [known[self._turn % len(known)]] if known else []
+
+    def _confirmed(self, sender, message):
+        """Take an entry's answer to a poll."""
+        asked_at = self._asked.pop(message.number, None)
+        if asked_at is None:
+            self._metrics.count("late_replies", "Confirmation")
+            return
+        change = message.change
+        if change is not None:
+            self.learn(change)
+        if self._vouching is not None:
+            self._vouching.heard(sender.incarnation, asked_at)
+            for each in message.announced:
+                self._vouching.announce(each)
+        if message.age_s is not None:
+            self._view.restrict(message.announced if message.vouched else ())
+            self._view.confirm(message.versions, asked_at, message.age_s)
+        elapsed = self._timer.monotonic() - asked_at
+        self._metrics.time("poll", elapsed)
+
+    def _news(self, _sender, message):
+        """Take word of a change that was just committed."""
+        self.learn(message.change)
+
+    def _next_stay(self):
+        """Begin a new stay if the roster has ended the present one."""
+        name = stay_name(self._incarnation, self._stay)
+        known = self._view.roster.named(name)
+        if known is not None and not known.present and not self.leaving:
+            self._stay += 1
+
+
+def everyone(view, own):
+    """Return all processes of the roster that may live, but for this one."""
+    reachable = {
+        peer_of(each)
+        for each in view.roster.members
+        if each.present or not (each.lost or each.handed_over)
+    }
+    return [each for each in reachable if each.incarnation != own.incarnation]
--- /dev/null
+++ b/ragwortlug/io/targets.py
@@ -0,0 +1,163 @@
+"""Targets' interface: announcements to the agent, and tasks run on the target.
+
+A task is handed over with the instant before which it must start, on the wall
+clock that the agent and its target share on their VM. A target that gets it
+later refuses, so that a pause between the agent's last check and the target's
+start can't outlive the agent's right.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from ragwortlug.codes import Code
+from ragwortlug.io.http import json_response, read_body
+from ragwortlug.model import Announcement, TaskOutcome
+
+MS_PER_S = 1000.0
+KEEPALIVE_S = 15.0
+CONNECT_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 1.0
+
+_announcements = msgspec.json.Decoder(Announcement)
+_decoder = msgspec.json.Decoder()
+_encoder = msgspec.json.Encoder()
+
+
+@dataclass(frozen=True, slots=True)
+class NotStarted:
+    """A start did not come about, and never will."""
+
+    code: Code
+
+
+class TargetRoutes:
+    """The routes for the target beside the agent.
+
+    Parameters
+    ----------
+    server : HttpServer
+        Gets the routes.
+    announced : callable
+        Is called with each `Announcement`.
+    """
+
+    def __init__(self, server, announced):
+        self._announced = announced
+        server.app.add_routes([web.put("/target", self._announce)])
+
+    async def _announce(self, request):
+        """Take an announcement; one that says it leaves is the last."""
+        announcement = await read_body(request, _announcements)
+        self._announced(announcement)
+        return json_response({"ttl_ms": announcement.ttl_ms})
+
+
+class TargetClient:
+    """Runs tasks on the target.
+
+    Parameters
+    ----------
+    view : View
+        Must permit each start.
+    data_centre : str
+        Where the target is.
+    timer : Timer
+        Tells the time.
+    confirm_s : float
+        How long a confirmed view may be acted upon.
+    """
+
+    def __init__(self, view, data_centre, timer, confirm_s):
+        self._view = view
+        self._data_centre = data_centre
+        self._timer = timer
+        self._confirm_s = confirm_s
+        self._session = None
+        self._stopped = set()
+
+    async def start(self):
+        """Open the connection pool."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+
+    async def stop(self):
+        """Close the connection pool."""
+        await self._session.close()
+
+    async def run(self, start):
+        """Run a granted task; return a `TaskOutcome`, or `NotStarted`."""
+        grant = start.grant
+        now = self._timer.monotonic()
+        if not self._view.permits_start(grant.service, self._data_centre, now):
+            confirmed = self._view.confirmed(now)
+            code = Code.NOT_PERMITTED_HERE if confirmed else Code.NOT_CONFIRMED
+            return NotStarted(code)
+        left_s = self._confirm_s - self._view.age_s(now)
+        body = {
+            "id": task_id(start),
+            "job": grant.job_id,
+            "index": grant.index,
+            "team": grant.team,
+            "service": grant.service,
+            "payload": grant.payload,
+            "start_before_ms": self._timer.unix_ms() + int(left_s * MS_PER_S),
+            "lease_ms": grant.lease_ms,
+        }
+        try:
+            async with asyncio.timeout(grant.lease_ms / MS_PER_S):
+                return await self._post(start.url, body)
+        except TimeoutError:
+            return await self._end_lease(start)
+        except aiohttp.ClientConnectorError:
+            return NotStarted(Code.TARGET_UNREACHABLE)
+        except (aiohttp.ClientError, msgspec.DecodeError, ConnectionError) as error:
+            detail = type(error).__name__
+            return TaskOutcome(int(Code.REPLY_LOST), None, detail)
+        finally:
+            self._stopped.discard(task_id(start))
+
+    async def halt(self, stop, url):
+        """Ask the target to stop a task; return whether it says that it did."""
+        self._stopped.add(stop)
+        timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_S)
+        try:
+            async with self._session.delete(
+                f"{url}/tasks/{stop}", timeout=timeout
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def _post(self, url, body):
+        """Hand a task over and wait for its end."""
+        async with self._session.post(
+            f"{url}/tasks",
+            data=_encoder.encode(body),
+            headers={"Content-Type": "application/json"},
+        ) as response:
+            raw = await response.read()
+        if response.status == Code.LEASE_TOO_LATE.http_status:
+            return NotStarted(Code.LEASE_TOO_LATE)
+        reply = _decoder.decode(raw)
+        if response.status == 200:
+            return TaskOutcome(int(Code.OK), reply.get("result"))
+        code = Code.STOPPED if body["id"] in self._stopped else Code.TASK_FAILED
+        return TaskOutcome(int(code), None, str(reply.get("error", "")))
+
+    async def _end_lease(self, start):
+        """Stop a task whose lease has ended."""
+        name = task_id(start)
+        stopped = await self.halt(name, start.url)
+        code = Code.LEASE_ENDED if stopped else Code.OUTCOME_UNKNOWN
+        return TaskOutcome(int(code))
+
+
+def task_id(effect):
+    """Return the name under which the target knows a granted task."""
+    key = effect.key
+    return f"{key.home.incarnation}-{key.number}"
--- /dev/null
+++ b/ragwortlug/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policy: queue order, placement, admission, quotas and worker health."""
--- /dev/null
+++ b/ragwortlug/policy/admission.py
@@ -0,0 +1,44 @@
+"""Admission: which jobs are refused at once, and for which reason."""
+
+from ragwortlug.codes import Code
+
+
+def refusal(job, configuration, agents, queued_tasks, queue_limit, wait_ms):
+    """Return the code with which a new job is refused, or None to admit it.
+
+    Parameters
+    ----------
+    job : Job
+        The submission.
+    configuration : Configuration
+        What the operators have accepted.
+    agents : sequence of Member
+        Agents that are present.
+    queued_tasks, queue_limit : int
+        Tasks that wait here, and how many may.
+    wait_ms : float
+        Expected wait before the job's last task starts.
+    """
+    if configuration.service(job.service) is None:
+        return Code.UNKNOWN_SERVICE
+    if configuration.team(job.team) is None:
+        return Code.UNKNOWN_TEAM
+    if configuration.rule_for(job.team, job.service, len(job.tasks)) is not None:
+        return Code.REFUSED_BY_RULE
+    offering = [
+        each.capacity
+        for each in agents
+        if each.capacity is not None and job.service in each.capacity.services
+    ]
+    if offering and not all(_fits(task, offering) for task in job.tasks):
+        return Code.CAN_NEVER_RUN
+    if queued_tasks + len(job.tasks) > queue_limit:
+        return Code.QUEUE_FULL
+    if job.deadline_ms and wait_ms > job.deadline_ms:
+        return Code.DEADLINE_UNREACHABLE
+    return None
+
+
+def _fits(task, offering):
+    """Return whether any offered capacity can hold the task."""
+    return any(capacity.can_hold(task) for capacity in offering)
--- /dev/null
+++ b/ragwortlug/relay.py
@@ -0,0 +1,220 @@
+"""The relay: an entry's requests to homes, each answered by its own reply or not.
+
+The relay keeps nothing that matters once its callers are gone. It never says
+"not run" of its own accord, since only a home has the right to.
+"""
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+
+from ragwortlug.codes import Code
+from ragwortlug.invariants import Invariant, check
+from ragwortlug.messages import Cancel, Fetch, Message, Moved, Reply, Submit, peer_of
+from ragwortlug.model import Answer, new_job_id
+
+ASK_AGAIN_S = 2.0
+HOME_WAIT_S = 1.0
+MINT_TRIES = 50
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request that waits for its reply."""
+
+    job_id: str
+    message: Message
+    future: asyncio.Future
+    home: str
+    sent_at: float
+    began: float
+
+
+class Relay:
+    """Finds homes, sends requests and matches replies.
+
+    Parameters
+    ----------
+    keeper : ViewKeeper
+        Keeps the entry's view.
+    peers, timer, metrics
+        The services of those names.
+    """
+
+    def __init__(self, keeper, peers, timer, metrics):
+        self._keeper = keeper
+        self._view = keeper.view
+        self._peers = peers
+        self._timer = timer
+        self._metrics = metrics
+        self._pending = {}
+
+    @property
+    def pending(self):
+        """Return the number of requests that wait."""
+        return len(self._pending)
+
+    async def start(self):
+        """Begin to take replies."""
+        self._peers.handle(Reply, self._replied)
+        self._peers.handle(Moved, self._moved)
+        self._keeper.changes.subscribe(lambda _: self._check_homes())
+        self._timer.every(ASK_AGAIN_S / 4, self._ask_again)
+
+    def mint(self):
+        """Return a new id whose home is present."""
+        job_id = new_job_id(self._timer.unix_ms())
+        for _ in range(MINT_TRIES):
+            home = self._view.homes.home(job_id)
+            if home is not None and home.present:
+                break
+            job_id = new_job_id(self._timer.unix_ms())
+        return job_id
+
+    async def submit(self, job, wait, trace=""):
+        """Return the answer to a job, or word that it is accepted."""
+        return await self._ask(
+            job.id, lambda request: Submit(request, job, trace, wait)
+        )
+
+    async def fetch(self, job_id, team, wait):
+        """Return the answer to a job submitted before."""
+        return await self._ask(
+            job_id, lambda request: Fetch(request, job_id, team, wait)
+        )
+
+    async def cancel(self, job_id, team):
+        """Give up a job and return what became of it."""
+        return await self._ask(job_id, lambda request: Cancel(request, job_id, team))
+
+    async def _ask(self, job_id, build):
+        """Send a request to the id's home and wait for the reply."""
+        request = uuid.uuid4().hex
+        future = asyncio.get_running_loop().create_future()
+        now = self._timer.monotonic()
+        pending = Pending(job_id, build(request), future, "", now, now)
+        self._pending[request] = pending
+        self._send(request, pending)
+        try:
+            return await future
+        finally:
+            del self._pending[request]
+
+    def _send(self, request, pending):
+        """Send a request to whoever holds the id's record."""
+        now = self._timer.monotonic()
+        pending.sent_at = now
+        holder = self._view.homes.holder(pending.job_id)
+        if holder is None or not self._reachable(holder):
+            lacking = Code.NO_HOME if holder is None else Code.HOME_LOST
+            if now - pending.began >= HOME_WAIT_S:
+                self._answer(request, pending, Answer(pending.job_id, int(lacking)))
+            return
+        pending.home = holder.incarnation
+        message = pending.message
+        home = self._view.homes.home(pending.job_id)
+        inherited = home is not None and holder.name != home.name
+        if inherited and isinstance(message, Submit):
+            job = message.job
+            message = Fetch(request, job.id, job.team, True)
+        self._peers.send(peer_of(holder), message)
+
+    def _reachable(self, holder):
+        """Return whether the process may live, be it in another stay."""
+        if not holder.lost:
+            return True
+        return any(
+            each.incarnation == holder.incarnation and each.present
+            for each in self._view.roster.members
+        )
+
+    def _replied(self, sender, message):
+        """Hand a reply to the request that it names."""
+        pending = self._pending.get(message.request)
+        if pending is None or pending.future.done():
+            self._metrics.count("late_replies", "Reply")
+            return
+        check(
+            Invariant.REPLY_MATCHES,
+            message.answer.id == pending.job_id,
+            asked=pending.job_id,
+            answered=message.answer.id,
+        )
+        lost_submission = message.answer.code == Code.NO_RECORD and isinstance(
+            pending.message, Submit
+        )
+        home = self._view.homes.home(pending.job_id)
+        if (
+            lost_submission
+            and home is not None
+            and (home.incarnation == sender.incarnation)
+        ):
+            self._send(message.request, pending)
+            self._metrics.count("requests_repeated", "Submit")
+            return
+        if lost_submission:
+            lost = Answer(pending.job_id, int(Code.HOME_LOST))
+            self._answer(message.request, pending, lost)
+            return
+        self._answer(message.request, pending, message.answer)
+
+    def _moved(self, _sender, message):
+        """Send a request on once the roster that moved the id is known."""
+        pending = self._pending.get(message.request)
+        if pending is None:
+            return
+        self._metrics.count("requests_repeated", "Moved")
+        if message.roster <= self._view.roster.version:
+            holder = self._view.homes.holder(pending.job_id)
+            if holder is not None and holder.incarnation != pending.home:
+                self._send(message.request, pending)
+                return
+        pending.home = ""
+        self._keeper.poll()
+
+    def _check_homes(self):
+        """After a change of the view, send on what has another home now."""
+        for request, pending in tuple(self._pending.items()):
+            if pending.future.done():
+                continue
+            holder = self._view.homes.holder(pending.job_id)
+            if holder is None:
+                continue
+            lost = not self._reachable(holder)
+            if lost and pending.home:
+                answer = Answer(pending.job_id, int(Code.HOME_LOST))
+                self._answer(request, pending, answer)
+            elif holder.incarnation != pending.home:
+                self._send(request, pending)
+
+    def _ask_again(self):
+        """Ask after requests that have waited for long, without their bodies."""
+        now = self._timer.monotonic()
+        for request, pending in tuple(self._pending.items()):
+            if pending.future.done():
+                continue
+            if not pending.home:
+                self._send(request, pending)
+            elif now - pending.sent_at >= ASK_AGAIN_S:
+                pending.sent_at = now
+                self._metrics.count("requests_repeated", "Fetch")
+                self._fetch_again(request, pending)
+
+    def _fetch_again(self, request, pending):
+        """Ask the home whether it knows of a request."""
+        holder = self._view.homes.holder(pending.job_id)
+        message = pending.message
+        if holder is None:
+            return
+        if isinstance(message, Submit):
+            job = message.job
+            message = Fetch(request, job.id, job.team, message.wait)
+        self._peers.send(peer_of(holder), message)
+
+    def _answer(self, request, pending, answer):
+        """Give a request its answer."""
+        if not pending.future.done():
+            pending.future.set_result(answer)
+            elapsed = self._timer.monotonic() - pending.began
+            self._metrics.time("job", elapsed)
+            self._metrics.count("jobs_answered", str(answer.code))
--- /dev/null
+++ b/ragwortlug/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: logs, metrics and traces."""
--- /dev/null
+++ b/ragwortlug/telemetry/logs.py
@@ -0,0 +1,49 @@
+"""Logs: short sentences, each with its part's fixed prefix, as text or JSON lines."""
+
+import json
+import sys
+
+import logbook
+
+TEXT_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} "
+    "{record.channel}: {record.message}"
+)
+
+
+def logger(part):
+    """Return the logger of a part; its name is the prefix of each line."""
+    return logbook.Logger(part)
+
+
+def set_up(settings, process):
+    """Write this process's log to standard error as the settings say.
+
+    Parameters
+    ----------
+    settings : LogSettings
+        Format and level.
+    process : str
+        Named in JSON lines, so that logs of many processes can be merged.
+    """
+    logbook.set_datetime_format("utc")
+    handler = logbook.StreamHandler(sys.stderr, level=settings.level)
+    if settings.format == "json":
+        handler.formatter = lambda record, _: _json_line(record, process)
+    else:
+        handler.format_string = TEXT_FORMAT
+    handler.push_application()
+
+
+def _json_line(record, process):
+    """Return one record as a line of JSON."""
+    fields = {
+        "time": record.time.isoformat() + "Z",
+        "level": record.level_name,
+        "process": process,
+        "part": record.channel,
+        "message": record.message,
+    }
+    if record.exc_info:
+        fields["exception"] = record.formatted_exception
+    return json.dumps(fields)
--- /dev/null
+++ b/ragwortlug/view/census.py
@@ -0,0 +1,139 @@
+"""The census: which members have been heard of, and what the roster lacks.
+
+Every entry takes its own; their changes meet in the store's compare-and-swap.
+"""
+
+from dataclasses import dataclass, replace
+
+from ragwortlug.view.roster import Member, RosterChange
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """The last word of a member."""
+
+    member: Member
+    at: float
+    leaving: bool
+    handed_over: bool
+
+
+class Census:
+    """What one entry has heard of the members.
+
+    Parameters
+    ----------
+    lost_after_s : float
+        Silence after which a member is taken for lost.
+    """
+
+    def __init__(self, lost_after_s):
+        self._lost_after_s = lost_after_s
+        self._heard = {}
+        self._began = None
+
+    def hear(self, member, now, leaving=False, handed_over=False):
+        """Take note of a member's word."""
+        if self._began is None:
+            self._began = now
+        self._heard[member.name] = Heard(member, now, leaving, handed_over)
+
+    def silent_s(self, name, now):
+        """Return for how long nothing was heard of a member."""
+        heard = self._heard.get(name)
+        if heard is not None:
+            return now - heard.at
+        return 0.0 if self._began is None else now - self._began
+
+    def change(self, roster, configuration, now):
+        """Return what the roster lacks, as a `RosterChange`."""
+        self._forget(now)
+        fresh = [
+            each for each in self._heard.values() if now - each.at < self._lost_after_s
+        ]
+        known = {each.name: each for each in roster.members}
+        departing = [
+            each.name
+            for each in roster.members
+            if each.present and self._departs(each, configuration)
+        ]
+        return RosterChange(
+            joining=tuple(
+                each.member for each in fresh if self._joins(each, known, configuration)
+            ),
+            departing=tuple(departing),
+            lost=self._lost(roster, now),
+            handed_over=_handed_over(fresh, roster),
+            capacities=tuple(
+                (each.member.name, each.member.capacity)
+                for each in fresh
+                if _differs(known.get(each.member.name), each.member)
+            ),
+        )
+
+    def _joins(self, heard, known, configuration):
+        """Return whether a member heard of belongs in the roster."""
+        member = heard.member
+        if member.name in known or heard.leaving:
+            return False
+        return member.role == "entry" or configuration.in_service(member.data_centre)
+
+    def _departs(self, member, configuration):
+        """Return whether a present member is to leave."""
+        heard = self._heard.get(member.name)
+        if heard is not None and heard.leaving:
+            return True
+        is_agent = member.role == "agent"
+        return is_agent and not configuration.in_service(member.data_centre)
+
+    def _lost(self, roster, now):
+        """Return the members that are silent, unless this entry hears too few.
+
+        An entry that hears less than half of the agents is itself the one cut
+        off, and says nothing of the others.
+        """
+        watched = [each for each in roster.members if not _is_over(each)]
+        silent = [
+            each.name
+            for each in watched
+            if self.silent_s(each.name, now) > self._lost_after_s
+        ]
+        agents = {each.name for each in watched if each.role == "agent"}
+        silent_agents = agents.intersection(silent)
+        if len(silent_agents) * 2 > len(agents) and len(agents) > 1:
+            return ()
+        return tuple(silent)
+
+    def _forget(self, now):
+        """Drop members not heard of for long."""
+        limit = 10 * self._lost_after_s
+        self._heard = {
+            name: each for name, each in self._heard.items() if now - each.at < limit
+        }
+
+
+def _is_over(member):
+    """Return whether a member's end is settled in the roster."""
+    return not member.present and (
+        member.lost or member.handed_over or member.role == "entry"
+    )
+
+
+def _handed_over(fresh, roster):
+    """Return the stays whose process says that it handed its records over."""
+    done = {each.member.incarnation for each in fresh if each.handed_over}
+    return tuple(
+        each.name
+        for each in roster.members
+        if each.incarnation in done and not each.handed_over
+    )
+
+
+def _differs(known, member):
+    """Return whether a present member's capacity is other than the roster says."""
+    return known is not None and known.present and known.capacity != member.capacity
+
+
+def with_stay(member, name):
+    """Return a member's next stay."""
+    return replace(member, name=name, since_ms=0, until_ms=None)
--- /dev/null
+++ b/ragwortlug/view/note.py
@@ -0,0 +1,212 @@
+"""The release note and the configuration that the accepted notes add up to."""
+
+from dataclasses import dataclass, field, replace
+from typing import Annotated, Literal
+
+import msgspec
+
+from ragwortlug.errors import NoteError
+from ragwortlug.model import Name, Natural
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service and the data centres that it may run in.
+
+    Attributes
+    ----------
+    lease_ms : int
+        Longest run of one task; the agent stops it at the end.
+    """
+
+    name: Name
+    data_centres: tuple[Name, ...]
+    lease_ms: Annotated[int, msgspec.Meta(ge=1)] = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team and the number of its tasks that may run at once (0: no limit)."""
+
+    name: Name
+    quota: Natural = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentre:
+    """A data centre, in service or taken out."""
+
+    name: Name
+    in_service: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """A rule by which jobs are refused or stopped.
+
+    Attributes
+    ----------
+    action : {"refuse", "stop"}
+        ``refuse`` turns away new jobs; ``stop`` also drops queued tasks and
+        stops running ones.
+    team, service : str
+        What the rule is about; empty for any.
+    above_tasks : int
+        The rule is about jobs of more tasks than this.
+    """
+
+    name: Name
+    action: Literal["refuse", "stop"]
+    team: str = ""
+    service: str = ""
+    above_tasks: Natural = 0
+
+    def covers(self, team, service, tasks):
+        """Return whether the rule is about such a job."""
+        return (
+            self.team in ("", team)
+            and self.service in ("", service)
+            and tasks > self.above_tasks
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What a note adds or changes, or, as names only, withdraws."""
+
+    services: tuple[Service, ...] = ()
+    teams: tuple[Team, ...] = ()
+    data_centres: tuple[DataCentre, ...] = ()
+    rules: tuple[Rule, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawals:
+    """The names that a note withdraws."""
+
+    services: tuple[Name, ...] = ()
+    teams: tuple[Name, ...] = ()
+    data_centres: tuple[Name, ...] = ()
+    rules: tuple[Name, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseNote:
+    """What operators ask for, on the version that they have seen.
+
+    Attributes
+    ----------
+    id : str
+        Makes the note idempotent: submitted again, it is not applied again.
+    base : int
+        The configuration version that the note is written against.
+    """
+
+    id: Name
+    base: Natural
+    added: Changes = field(default_factory=Changes)
+    changed: Changes = field(default_factory=Changes)
+    withdrawn: Withdrawals = field(default_factory=Withdrawals)
+    comment: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """What holds: the sum of all accepted notes."""
+
+    version: int = 0
+    note_id: str = ""
+    services: tuple[Service, ...] = ()
+    teams: tuple[Team, ...] = ()
+    data_centres: tuple[DataCentre, ...] = ()
+    rules: tuple[Rule, ...] = ()
+
+    def service(self, name):
+        """Return the service of that name, or None."""
+        return _named(self.services, name)
+
+    def team(self, name):
+        """Return the team of that name, or None."""
+        return _named(self.teams, name)
+
+    def permits(self, service_name, data_centre):
+        """Return whether tasks of the service may start in the data centre."""
+        service = self.service(service_name)
+        centre = _named(self.data_centres, data_centre)
+        return (
+            service is not None
+            and centre is not None
+            and centre.in_service
+            and data_centre in service.data_centres
+        )
+
+    def in_service(self, data_centre):
+        """Return whether the data centre is not taken out."""
+        centre = _named(self.data_centres, data_centre)
+        return centre is None or centre.in_service
+
+    def rule_for(self, team, service, tasks):
+        """Return the first rule that covers such a job, or None."""
+        covering = (rule for rule in self.rules if rule.covers(team, service, tasks))
+        return next(covering, None)
+
+
+KINDS = ("services", "teams", "data_centres", "rules")
+
+
+def apply_note(configuration, note):
+    """Return the configuration after the note.
+
+    Raises
+    ------
+    NoteError
+        With every reason for which the note can't be applied.
+    """
+    reasons = []
+    parts = {}
+    for kind in KINDS:
+        parts[kind] = _merge(kind, configuration, note, reasons)
+    _check_references(parts, reasons)
+    if reasons:
+        raise NoteError(reasons)
+    return replace(
+        configuration, version=configuration.version + 1, note_id=note.id, **parts
+    )
+
+
+def _merge(kind, configuration, note, reasons):
+    """Return one kind's items after the note, adding to `reasons`."""
+    items = {item.name: item for item in getattr(configuration, kind)}
+    for item in getattr(note.added, kind):
+        if item.name in items:
+            reasons.append(f"added.{kind}: {item.name!r} exists already")
+        items[item.name] = item
+    for item in getattr(note.changed, kind):
+        if item.name not in items:
+            reasons.append(f"changed.{kind}: {item.name!r} does not exist")
+        items[item.name] = item
+    for name in getattr(note.withdrawn, kind):
+        if items.pop(name, None) is None:
+            reasons.append(f"withdrawn.{kind}: {name!r} does not exist")
+    return tuple(items.values())
+
+
+def _check_references(parts, reasons):
+    """Add a reason for each name that refers to nothing."""
+    centres = {centre.name for centre in parts["data_centres"]}
+    services = {service.name for service in parts["services"]}
+    teams = {team.name for team in parts["teams"]}
+    for service in parts["services"]:
+        for name in service.data_centres:
+            if name not in centres:
+                reasons.append(f"service {service.name!r}: no data centre {name!r}")
+    for rule in parts["rules"]:
+        if rule.team and rule.team not in teams:
+            reasons.append(f"rule {rule.name!r}: no team {rule.team!r}")
+        if rule.service and rule.service not in services:
+            reasons.append(f"rule {rule.name!r}: no service {rule.service!r}")
+
+
+def _named(items, name):
+    """Return the item of that name, or None."""
+    return next((item for item in items if item.name == name), None)
--- /dev/null
+++ b/ragwortlug/view/view.py
@@ -0,0 +1,166 @@
+"""The view of one process: what it believes holds, and how fresh that belief is.
+
+A view is confirmed while its last confirmation, counted from the moment that it
+was asked for, is younger than the confirmation time. Only a confirmed view
+permits a start. While the store is silent, changes that are announced but not
+known to be committed restrict: a start must be permitted by the accepted
+configuration and by every announced one.
+"""
+
+from dataclasses import dataclass
+
+from ragwortlug.invariants import Invariant, check
+from ragwortlug.view.homes import HomeGuard, HomeMap
+from ragwortlug.view.note import Configuration
+from ragwortlug.view.roster import Roster
+
+
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """The versions of the two halves of a view."""
+
+    configuration: int = 0
+    roster: int = 0
+
+    def covers(self, other):
+        """Return whether neither half is older than the other's."""
+        return self.configuration >= other.configuration and self.roster >= other.roster
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change that is about to be written to the store: one of its halves."""
+
+    configuration: Configuration | None = None
+    roster: Roster | None = None
+
+    def settled_by(self, versions):
+        """Return whether something as new or newer is accepted."""
+        if self.configuration is not None:
+            return self.configuration.version <= versions.configuration
+        return self.roster.version <= versions.roster
+
+
+class View:
+    """The configuration and roster known here, with their freshness.
+
+    Parameters
+    ----------
+    confirm_s : float
+        How long a confirmation lasts.
+    skew_ms : int
+        Greatest difference between two processes' wall clocks.
+    """
+
+    def __init__(self, confirm_s, skew_ms):
+        self._confirm_s = confirm_s
+        self._confirmed_at = None
+        self.configuration = Configuration()
+        self.roster = Roster()
+        self.homes = HomeMap(self.roster)
+        self.guard = HomeGuard(int(confirm_s * 1000) + 2 * skew_ms)
+        self._announced = ()
+        self._announced_homes = []
+
+    @property
+    def versions(self):
+        """Return the versions known here."""
+        return Versions(self.configuration.version, self.roster.version)
+
+    @property
+    def announced(self):
+        """Return the announced changes that restrict this process."""
+        return self._announced
+
+    def learn_configuration(self, configuration):
+        """Take a configuration if it is newer; return whether it was."""
+        if configuration.version <= self.configuration.version:
+            return False
+        before = self.configuration.version
+        self.configuration = configuration
+        check(
+            Invariant.VERSION_RISES,
+            self.configuration.version > before,
+            before=before,
+            after=configuration.version,
+        )
+        self._settle()
+        return True
+
+    def learn_roster(self, roster, now_ms):
+        """Take a roster if it is newer; return whether it was."""
+        if roster.version <= self.roster.version:
+            return False
+        self.roster = roster
+        self.homes = HomeMap(roster)
+        self.guard.learn(roster, now_ms)
+        self._settle()
+        return True
+
+    def restrict(self, announced):
+        """Let just these announced changes restrict this process."""
+        if announced != self._announced:
+            self._announced = tuple(announced)
+            self._settle()
+
+    def is_home(self, job_id, incarnation):
+        """Return whether a process is home to an id by every roster known."""
+        return all(
+            _is_home(homes, job_id, incarnation)
+            for homes in (self.homes, *self._announced_homes)
+        )
+
+    def confirm(self, versions, asked_at, age_s):
+        """Confirm the view as of `age_s` before it was asked for.
+
+        Parameters
+        ----------
+        versions : Versions
+            What the answer says is current; it confirms nothing if this
+            process knows less than that.
+        asked_at : float
+            Monotonic seconds at which this process asked.
+        age_s : float
+            The answer's own age when it was given.
+        """
+        if not self.versions.covers(versions):
+            return
+        at = asked_at - age_s
+        if self._confirmed_at is None or at > self._confirmed_at:
+            self._confirmed_at = at
+
+    def age_s(self, now):
+        """Return the seconds since the last confirmation, or None."""
+        return None if self._confirmed_at is None else now - self._confirmed_at
+
+    def confirmed(self, now):
+        """Return whether the view may be acted upon."""
+        age = self.age_s(now)
+        return age is not None and age < self._confirm_s
+
+    def permits_start(self, service, data_centre, now):
+        """Return whether a task of the service may start there now."""
+        return self.confirmed(now) and all(
+            each.permits(service, data_centre)
+            for each in (self.configuration, *self._announced_configurations())
+        )
+
+    def _announced_configurations(self):
+        """Yield the announced configurations."""
+        for each in self._announced:
+            if each.configuration is not None:
+                yield each.configuration
+
+    def _settle(self):
+        """Drop announced changes that the accepted versions have overtaken."""
+        self._announced = tuple(
+            each for each in self._announced if not each.settled_by(self.versions)
+        )
+        rosters = (each.roster for each in self._announced)
+        self._announced_homes = [HomeMap(each) for each in rosters if each]
+
+
+def _is_home(homes, job_id, incarnation):
+    """Return whether a map names a process as an id's home."""
+    home = homes.home(job_id)
+    return home is not None and home.incarnation == incarnation
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,176 @@
+"""A whole site in one process: entries, agents, targets and the store."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from ragwortlug.client import Client
+from ragwortlug.compose import compose_agent, compose_entry
+from ragwortlug.settings import AgentSettings, EntrySettings, ViewSettings
+from standins.store import StoreStandin
+from standins.target import TargetStandin
+
+HOST = "127.0.0.1"
+STORE_PORT = 0
+ENTRY_PORTS = 10
+AGENT_PORTS = 100
+READY_LIMIT_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class SitePlan:
+    """What a site consists of; ports are counted from `port`."""
+
+    port: int
+    data_centres: tuple[str, ...]
+    service: str
+    teams: tuple[str, ...]
+    entries: int = 3
+    agents: int = 11
+    slots: int = 8
+    memory_mb: int = 128_000
+    view: ViewSettings = field(default_factory=ViewSettings)
+    trace_share: float = 0.0
+
+    def data_centre(self, index):
+        """Return the data centre of the agent or entry of that number."""
+        return self.data_centres[index % len(self.data_centres)]
+
+    def entry_settings(self, index):
+        """Return the settings of an entry."""
+        port = self.port + ENTRY_PORTS + 2 * index
+        return EntrySettings(
+            address=f"tcp://{HOST}:{port}",
+            http=f"tcp://{HOST}:{port + 1}",
+            data_centre=self.data_centre(index),
+            store=f"http://{HOST}:{self.port + STORE_PORT}",
+            drain_s=0.3,
+            trace_share=self.trace_share,
+            view=self.view,
+        )
+
+    def agent_settings(self, index):
+        """Return the settings of an agent."""
+        port = self.port + AGENT_PORTS + 3 * index
+        entries = range(self.entries)
+        return AgentSettings(
+            address=f"tcp://{HOST}:{port}",
+            http=f"tcp://{HOST}:{port + 1}",
+            data_centre=self.data_centre(index),
+            rack=f"rack-{index // 3}",
+            entries=tuple(self.entry_settings(each).address for each in entries),
+            trace_share=self.trace_share,
+            view=self.view,
+        )
+
+    def target_port(self, index):
+        """Return the port of the target beside an agent."""
+        return self.port + AGENT_PORTS + 3 * index + 2
+
+    def capacity(self):
+        """Return what each target offers."""
+        return {
+            "services": [self.service],
+            "slots": self.slots,
+            "connections": 64,
+            "cpus": 64,
+            "memory_mb": self.memory_mb,
+        }
+
+    def entry_urls(self):
+        """Return the URLs of all entries."""
+        return [
+            self.entry_settings(each).http.replace("tcp://", "http://")
+            for each in range(self.entries)
+        ]
+
+    def first_note(self):
+        """Return the note that sets the site up."""
+        return {
+            "id": "set-up",
+            "base": 0,
+            "added": {
+                "data_centres": [{"name": name} for name in self.data_centres],
+                "services": [
+                    {"name": self.service, "data_centres": list(self.data_centres)}
+                ],
+                "teams": [{"name": name} for name in self.teams],
+            },
+        }
+
+
+class Site:
+    """A running site.
+
+    Parameters
+    ----------
+    plan : SitePlan
+        What to run.
+    """
+
+    def __init__(self, plan):
+        self.plan = plan
+        self.store = StoreStandin()
+        self.entries = []
+        self.agents = []
+        self.targets = []
+
+    async def start(self):
+        """Start every part and wait until jobs can be served."""
+        plan = self.plan
+        await self.store.start(HOST, plan.port + STORE_PORT)
+        for index in range(plan.entries):
+            self.entries.append(compose_entry(plan.entry_settings(index)))
+        for index in range(plan.agents):
+            self.agents.append(compose_agent(plan.agent_settings(index)))
+        for kernel in (*self.entries, *self.agents):
+            await kernel.start()
+        for index in range(plan.agents):
+            await self.start_target(index)
+        await wait_until_ready(plan)
+
+    async def stop(self):
+        """Stop every part at once."""
+        for target in self.targets:
+            await target.stop(graceful=False)
+        for kernel in (*self.agents, *self.entries):
+            await kernel.stop()
+        await self.store.stop()
+
+    async def start_target(self, index):
+        """Start the target beside an agent."""
+        plan = self.plan
+        port = plan.target_port(index)
+        agent = plan.agent_settings(index).http.replace("tcp://", "http://")
+        target = TargetStandin(f"http://{HOST}:{port}", agent, plan.capacity())
+        await target.start(HOST, port)
+        self.targets.append(target)
+        return target
+
+
+async def wait_until_ready(plan):
+    """Set the site up and wait until every agent takes work for new births."""
+    async with Client(plan.entry_urls()[:1], plan.teams[0]) as client:
+        async with asyncio.timeout(READY_LIMIT_S):
+            while not await _is_ready(client, plan):
+                await asyncio.sleep(0.1)
+
+
+async def _is_ready(client, plan):
+    """Return whether the roster is complete and the first note in force."""
+    try:
+        status = await client.get("/status")
+        if status["configuration"] == 0:
+            await client.post("/notes", plan.first_note())
+            return False
+        forced = await client.get("/configuration/in-force?version=1")
+    except OSError:
+        return False
+    members = status["roster"]["members"]
+    agents = [each for each in members if each["role"] == "agent"]
+    return (
+        forced["in_force"]
+        and status["confirmed"]
+        and len(members) - len(agents) >= plan.entries
+        and sum(each["capacity"] is not None for each in agents) >= plan.agents
+        and all(each["since_ms"] <= status["now_ms"] for each in agents)
+    )
