Count a member's silence only while it could know of the entry

The log of the roster's commits showed an entry that had just joined marking half of the agents as lost: it counted their silence from its own first word, but agents find an entry by the roster. Ruled out: the kill itself (the loss was committed before it) and lost polls.

Change: the census counts silence from when both are in the roster. Commits of the roster now say in the log what they change.

--- a/ragwortlug/compose.py
+++ b/ragwortlug/compose.py
@@ -57,7 +57,7 @@
         "registrar",
         Registrar(
             keeper,
-            Census(settings.view.lost_after_s),
+            Census(own.incarnation, settings.view.lost_after_s),
             vouching,
             store,
             peers,
--- a/ragwortlug/io/registrar.py
+++ b/ragwortlug/io/registrar.py
@@ -28,7 +28,7 @@
 )
 from ragwortlug.telemetry.logs import logger
 from ragwortlug.view.note import Configuration, ReleaseNote, apply_note
-from ragwortlug.view.roster import Roster, changed
+from ragwortlug.view.roster import Roster, changed, describe_change
 from ragwortlug.view.view import Change
 from ragwortlug.view.vouching import majority
 
@@ -336,12 +336,13 @@
             roster = self._without_majority(roster)
             if roster is None:
                 raise
+        what = describe_change(self._view.roster, roster)
         revision = self._revisions[ROSTER_KEY]
         value = msgspec.json.encode(roster)
         written = await self._store.write([Write(ROSTER_KEY, value, revision)])
         await self._refresh()
         if written:
-            log.info("Roster {} is committed.", roster.version)
+            log.info("Roster {} is committed: {}.", roster.version, what)
             self._spread(Change(roster=roster))
 
     def _without_majority(self, roster):
--- a/ragwortlug/view/census.py
+++ b/ragwortlug/view/census.py
@@ -23,31 +23,36 @@
 
     Parameters
     ----------
+    own : str
+        The incarnation of this entry.
     lost_after_s : float
         Silence after which a member is taken for lost.
     """
 
-    def __init__(self, lost_after_s):
+    def __init__(self, own, lost_after_s):
+        self._own = own
         self._lost_after_s = lost_after_s
         self._heard = {}
-        self._began = None
+        self._watched_since = {}
 
     def hear(self, member, now, leaving=False, handed_over=False):
         """Take note of a member's word."""
-        if self._began is None:
-            self._began = now
         self._heard[member.name] = Heard(member, now, leaving, handed_over)
 
     def silent_s(self, name, now):
-        """Return for how long nothing was heard of a member."""
+        """Return for how long a member should have been heard, and was not.
+
+        Members find an entry by the roster, so that silence before both were in
+        the roster does not count.
+        """
+        last = self._watched_since.get(name, now)
         heard = self._heard.get(name)
-        if heard is not None:
-            return now - heard.at
-        return 0.0 if self._began is None else now - self._began
+        return now - (last if heard is None else max(last, heard.at))
 
     def change(self, roster, configuration, now):
         """Return what the roster lacks, as a `RosterChange`."""
         self._forget(now)
+        self._watch(roster, now)
         fresh = [
             each for each in self._heard.values() if now - each.at < self._lost_after_s
         ]
@@ -104,6 +109,14 @@
             return ()
         return tuple(silent)
 
+    def _watch(self, roster, now):
+        """Note since when each member could know of this entry."""
+        present = any(each.incarnation == self._own for each in roster.present("entry"))
+        names = {each.name for each in roster.members} if present else set()
+        self._watched_since = {
+            name: self._watched_since.get(name, now) for name in names
+        }
+
     def _forget(self, now):
         """Drop members not heard of for long."""
         limit = 10 * self._lost_after_s
--- a/ragwortlug/view/roster.py
+++ b/ragwortlug/view/roster.py
@@ -85,6 +85,25 @@
         )
 
 
+def describe_change(before, after):
+    """Return a short sentence on what differs between two rosters."""
+    old = {each.name: each for each in before.members}
+    parts = []
+    for member in after.members:
+        known = old.get(member.name)
+        if known is None:
+            parts.append(f"{member.name} joins")
+        elif member.lost and not known.lost:
+            parts.append(f"{member.name} is lost")
+        elif known.present and not member.present:
+            parts.append(f"{member.name} leaves")
+        elif member.handed_over and not known.handed_over:
+            parts.append(f"{member.name} has handed over")
+        elif member.capacity != known.capacity:
+            parts.append(f"{member.name} offers something else")
+    return ", ".join(parts) or "only settings differ"
+
+
 def stay_name(incarnation, stay):
     """Return the member name of a process's stay, counted from 0."""
     return f"{incarnation}/{stay}"
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -7,6 +7,7 @@
 import sys
 
 from standins.demo import run_demo
+from standins.deployments import write_examples
 from standins.store import StoreStandin
 from standins.target import TargetStandin
 
@@ -35,6 +36,10 @@
     await standin.stop()
 
 
+async def _examples(parsed):
+    write_examples(parsed.folder)
+
+
 def main():
     """Run the stand-in that the command line names."""
     parser = argparse.ArgumentParser(prog="standins")
@@ -49,6 +54,9 @@
     target.set_defaults(run=_target)
     demo = commands.add_parser("demo")
     demo.set_defaults(run=lambda _: run_demo())
+    examples = commands.add_parser("examples")
+    examples.add_argument("--folder", default="examples")
+    examples.set_defaults(run=_examples)
     parsed = parser.parse_args()
     return asyncio.run(parsed.run(parsed))
 
--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,38 @@
+"""The two deployments of today, whose settings stand under ``examples/``."""
+
+from dataclasses import replace
+from pathlib import Path
+
+from standins.fleet import write_settings
+from standins.site import SitePlan
+
+GYANBHANDAR = SitePlan(
+    port=8_090,
+    data_centres=("patan", "bhaktapur", "kirtipur"),
+    service="mould-carving",
+    teams=("gyanbhandar",),
+    memory_mb=128_000,
+    trace_share=0.01,
+)
+BLUE_MAHOE = SitePlan(
+    port=8_490,
+    data_centres=("spanish-town", "half-way-tree", "portmore"),
+    service="refill-order-desk",
+    teams=("blue-mahoe",),
+    memory_mb=256_000,
+    trace_share=0.01,
+)
+DEPLOYMENTS = {"gyanbhandar": GYANBHANDAR, "blue-mahoe": BLUE_MAHOE}
+
+
+def write_examples(folder):
+    """Write the settings of both deployments below a folder."""
+    for name, plan in DEPLOYMENTS.items():
+        target = Path(folder) / name
+        target.mkdir(parents=True, exist_ok=True)
+        write_settings(plan, target)
+
+
+def at_port(plan, port):
+    """Return a plan moved to other ports."""
+    return replace(plan, port=port)
