--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments on one machine, with small stand-ins on loopback."""
--- a/ragwortlug/model.py
+++ b/ragwortlug/model.py
@@ -146,10 +146,10 @@
     leaving: bool = False
 
 
-def new_job_id(now_ms=None):
+def new_job_id(now_ms=None, random_bits=secrets.randbits):
     """Return a new id, a UUID of version 7, born now."""
     born = int(time.time() * 1000) if now_ms is None else now_ms
-    number = (born << UUID7_RANDOM_BITS) | secrets.randbits(UUID7_RANDOM_BITS)
+    number = (born << UUID7_RANDOM_BITS) | random_bits(UUID7_RANDOM_BITS)
     number = (number & ~(0xF << 76)) | (UUID_VERSION << 76)
     number = (number & ~(0x3 << 62)) | (0x2 << 62)
     return str(uuid.UUID(int=number))
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -13,6 +13,7 @@
     teams=("gyanbhandar",),
     memory_mb=128_000,
     trace_share=0.01,
+    log_level="INFO",
 )
 BLUE_MAHOE = SitePlan(
     port=8_490,
@@ -21,6 +22,7 @@
     teams=("blue-mahoe",),
     memory_mb=256_000,
     trace_share=0.01,
+    log_level="INFO",
 )
 DEPLOYMENTS = {"gyanbhandar": GYANBHANDAR, "blue-mahoe": BLUE_MAHOE}
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -65,25 +65,37 @@
     async def start_daemon(self, name):
         """Start a daemon by its name, such as ``agent-3``."""
         role = name.partition("-")[0]
-        self._processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "ragwortlug",
-            role,
-            "--settings",
-            str(self._dir / f"{name}.json"),
-            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
-        )
+        settings = str(self._dir / f"{name}.json")
+        await self._spawn(name, "ragwortlug", role, "--settings", settings)
 
     async def start_target(self, index):
         """Start the target beside an agent, counted from 0."""
         plan = self.plan
         port = plan.target_port(index)
         agent = plan.agent_settings(index).http.replace("tcp://", "http://")
+        if plan.target_processes:
+            capacity = msgspec.json.encode(plan.capacity()).decode()
+            given = ("--port", str(port), "--agent", agent, "--capacity", capacity)
+            await self._spawn(f"target-{index + 1}", "standins", "target", *given)
+            return
         target = TargetStandin(f"http://{HOST}:{port}", agent, plan.capacity())
         await target.start(HOST, port)
         self.targets[f"agent-{index + 1}"] = target
 
+    async def _spawn(self, name, module, *arguments):
+        """Start a module as a process."""
+        self._processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+        )
+
+    def pid(self, name):
+        """Return the process id of a daemon."""
+        return self._processes[name].pid
+
     def signal(self, name, number):
         """Send a signal to a daemon."""
         process = self._processes[name]
--- a/standins/site.py
+++ b/standins/site.py
@@ -5,7 +5,7 @@
 
 from ragwortlug.client import Client
 from ragwortlug.compose import compose_agent, compose_entry
-from ragwortlug.settings import AgentSettings, EntrySettings, ViewSettings
+from ragwortlug.settings import AgentSettings, EntrySettings, LogSettings, ViewSettings
 from standins.store import StoreStandin
 from standins.target import TargetStandin
 
@@ -30,6 +30,8 @@
     memory_mb: int = 128_000
     view: ViewSettings = field(default_factory=ViewSettings)
     trace_share: float = 0.0
+    target_processes: bool = False
+    log_level: str = "WARNING"
 
     def data_centre(self, index):
         """Return the data centre of the agent or entry of that number."""
@@ -45,6 +47,7 @@
             store=f"http://{HOST}:{self.port + STORE_PORT}",
             drain_s=0.3,
             trace_share=self.trace_share,
+            log=LogSettings(level=self.log_level),
             view=self.view,
         )
 
@@ -59,6 +62,7 @@
             rack=f"rack-{index // 3}",
             entries=tuple(self.entry_settings(each).address for each in entries),
             trace_share=self.trace_share,
+            log=LogSettings(level=self.log_level),
             view=self.view,
         )
 
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,116 @@
+"""Policy: order, placement, admission, quotas, health."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortlug.jobs.record import JobRecord
+from ragwortlug.model import Job, Task, new_job_id
+from ragwortlug.policy import quotas
+from ragwortlug.policy.health import FAILURES_TO_REST, REST_S, WorkerHealth
+from ragwortlug.policy.placement import Placement
+from ragwortlug.policy.queue import WaitingQueue
+from ragwortlug.view.note import Team
+from ragwortlug.view.roster import Member
+
+AGING_MS = 400.0
+
+
+def record(tasks, arrived):
+    job = Job(new_job_id(), "team", "service", (Task(),) * tasks)
+    return JobRecord(job, None, arrived)
+
+
+def agent(name, centre="patan"):
+    return Member(f"{name}/0", "agent", f"tcp://{name}", centre)
+
+
+def placement(probes=3):
+    return Placement("own", "patan", 1.0, probes, random.Random(1))
+
+
+class TestQueue:
+    def test_fewest_tasks_left_goes_first(self):
+        queue = WaitingQueue(AGING_MS)
+        large, small = record(20, 0.0), record(1, 1.0)
+        queue.update(large)
+        queue.update(small)
+        assert queue.best(lambda _: True) is small
+
+    def test_large_job_is_overtaken_only_within_its_handicap(self):
+        queue = WaitingQueue(AGING_MS)
+        large, small = record(20, 0.0), record(1, 19 * AGING_MS / 1000 + 0.1)
+        queue.update(large)
+        queue.update(small)
+        assert queue.best(lambda _: True) is large
+
+    def test_job_without_waiting_tasks_is_taken_out(self):
+        queue = WaitingQueue(AGING_MS)
+        only = record(1, 0.0)
+        queue.update(only)
+        only.grant(0)
+        queue.update(only)
+        assert len(queue) == 0
+
+
+class TestPlacement:
+    def test_own_slots_then_the_data_centre_then_the_freest(self):
+        chooser = placement()
+        agents = [agent("far", "kirtipur"), agent("near"), agent("own")]
+        for each in agents:
+            chooser.learn(each.incarnation, 2, 0.0)
+        chooser.learn("far", 8, 0.0)
+        assert chooser.free_agent(agents, 0.1).incarnation == "own"
+        assert chooser.free_agent(agents[:2], 0.1).incarnation == "near"
+
+    def test_hints_grow_stale_and_grants_use_them_up(self):
+        chooser = placement()
+        agents = [agent("near")]
+        chooser.learn("near", 1, 0.0)
+        assert chooser.free_agent(agents, 1.5) is None
+        chooser.learn("near", 1, 2.0)
+        chooser.granted("near")
+        assert chooser.free_agent(agents, 2.1) is None
+
+    def test_probes_are_bounded(self):
+        agents = [agent(str(each)) for each in range(9)]
+        assert len(placement().probe_agents(agents, [])) == 3
+        assert len(placement().probe_agents(agents, ["1", "2"])) == 1
+        assert placement().probe_agents(agents, ["1", "2", "3"]) == []
+
+
+class TestQuotas:
+    @given(st.integers(1, 500), st.integers(1, 60))
+    def test_shares_add_up_to_the_quota(self, quota, count):
+        team = Team("team", quota)
+        homes = [f"agent-{each}" for each in range(count)]
+        total = sum(quotas.share(team, homes, each) for each in homes)
+        assert total == max(quota, count)
+
+    def test_no_quota_is_no_limit(self):
+        assert quotas.share(Team("team"), ["a"], "a") is None
+
+
+class TestHealth:
+    def test_failing_target_rests_and_returns_by_a_probe(self):
+        health = WorkerHealth()
+        for _ in range(FAILURES_TO_REST):
+            assert health.slots(4, 0.0) == 4
+            health.started()
+            health.failed(0.0)
+        assert health.slots(4, 0.1) == 0
+        assert health.slots(4, REST_S) == 1
+        health.started()
+        assert health.slots(4, REST_S) == 0
+        health.succeeded()
+        assert health.slots(4, REST_S) == 4
+
+    def test_failed_probe_doubles_the_rest(self):
+        health = WorkerHealth()
+        for _ in range(FAILURES_TO_REST):
+            health.failed(0.0)
+        health.started()
+        health.failed(REST_S)
+        assert health.slots(4, REST_S + REST_S) == 0
+        assert health.slots(4, REST_S + 2 * REST_S) == 1
