Find every broken mechanism by the machine; look only at agents with hints

Change: the rule brings its data centre back; a rule doubles all messages under way.

The home no longer goes through every agent and every waiting job for each grant: counts are kept by the queue, candidates by view, and placement looks only at agents that have lately said they have a free slot.

--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,4 @@
 	$(PYTHON) -m bench all --seed $(SEED)
 
 soak: $(READY)
-	$(PYTHON) -m bench soak --seed $(SEED) --minutes $(MINUTES)
+	$(PYTHON) -m tests.soak --seed $(SEED) --minutes $(MINUTES)
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,13 @@
 import asyncio
 import sys
 
-from bench import path
+from bench import control, path, scenarios
+
+
+async def _all(parsed):
+    await path.measure(parsed.seed)
+    await control.measure()
+    await scenarios.measure(parsed.seed)
 
 
 def main():
@@ -14,6 +20,20 @@
     command = commands.add_parser("path", help=path.__doc__)
     command.add_argument("--seed", type=int, default=1)
     command.set_defaults(run=lambda parsed: path.measure(parsed.seed))
+    command = commands.add_parser("control", help=control.__doc__)
+    command.set_defaults(run=lambda _: control.measure())
+    command = commands.add_parser("scenarios", help=scenarios.__doc__)
+    command.add_argument("--seed", type=int, default=1)
+    command.add_argument("--deployment", action="append")
+    command.add_argument("--scenario", action="append")
+    command.set_defaults(
+        run=lambda given: scenarios.measure(
+            given.seed, given.deployment, given.scenario
+        )
+    )
+    command = commands.add_parser("all", help="every benchmark")
+    command.add_argument("--seed", type=int, default=1)
+    command.set_defaults(run=_all)
     parsed = parser.parse_args()
     return asyncio.run(parsed.run(parsed))
 
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -28,6 +28,14 @@
     }
 
 
+def quantile(values, percent):
+    """Return a quantile of some values; 0 if there are none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
+
+
 def print_line(**fields):
     """Print one result as a line of JSON."""
     print(json.dumps(fields), flush=True)
--- a/ragwortlug/cli.py
+++ b/ragwortlug/cli.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import msgspec
+import uvloop
 
 from ragwortlug import __version__
 from ragwortlug.client import Client
@@ -18,6 +19,7 @@
 from ragwortlug.daemon import serve
 from ragwortlug.errors import RagwortlugError, RequestError, SettingsError
 from ragwortlug.model import Task
+from ragwortlug.reference import PAGES
 from ragwortlug.settings import AgentSettings, EntrySettings, load
 from ragwortlug.telemetry.logs import set_up
 from ragwortlug.view.note import ReleaseNote
@@ -74,13 +76,13 @@
 def _run_entry(parsed):
     settings = load(parsed.settings, EntrySettings)
     set_up(settings.log, f"entry {settings.address}")
-    return asyncio.run(_serve(compose_entry, settings))
+    return uvloop.run(_serve(compose_entry, settings))
 
 
 def _run_agent(parsed):
     settings = load(parsed.settings, AgentSettings)
     set_up(settings.log, f"agent {settings.address}")
-    return asyncio.run(_serve(compose_agent, settings))
+    return uvloop.run(_serve(compose_agent, settings))
 
 
 async def _serve(compose, settings):
@@ -240,6 +242,11 @@
     return EXIT_NOT_RUN if failed else EXIT_OK
 
 
+def _reference(parsed):
+    print(PAGES[parsed.page](), end="")
+    return EXIT_OK
+
+
 # Helpers.
 
 
@@ -339,6 +346,9 @@
     _command(commands, "status", _status, "print the roster and its freshness")
     trace = _command(commands, "trace", _trace, "print the spans of a job")
     trace.add_argument("id")
+    reference = commands.add_parser("reference", help="print a reference page")
+    reference.add_argument("page", choices=sorted(PAGES))
+    reference.set_defaults(run=_reference)
     for name, run in (("drain", _drain), ("restore", _restore)):
         text = "take a data centre out" if name == "drain" else "bring it back"
         _command(commands, name, run, text).add_argument("data_centre")
--- a/ragwortlug/daemon.py
+++ b/ragwortlug/daemon.py
@@ -1,11 +1,13 @@
 """Daemons: runs a kernel until a signal asks for its graceful shutdown."""
 
 import asyncio
+import gc
 import signal
 
 from ragwortlug.telemetry.logs import logger
 
 SHUTDOWN_LIMIT_S = 60.0
+GC_THRESHOLDS = (50_000, 20, 20)
 
 log = logger("daemon")
 
@@ -17,6 +19,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
     await kernel.start()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     log.info("Serving.")
     await asked.wait()
     log.info("Shutting down.")
--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -27,12 +27,13 @@
     Waiting,
     peer_of,
 )
-from ragwortlug.model import Answer, TaskOutcome, birth_of
+from ragwortlug.model import Answer, Capacity, TaskOutcome, birth_of
 from ragwortlug.policy import quotas
 from ragwortlug.policy.admission import refusal
 from ragwortlug.policy.estimates import RunTimes
 from ragwortlug.policy.queue import WaitingQueue
 from ragwortlug.view.homes import bucket_of
+from ragwortlug.view.roster import Member
 
 PROBE_AFTER_S = 2.0
 TELL_AGAIN_S = 1.0
@@ -50,6 +51,29 @@
     asked_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Candidates:
+    """The agents that may run a service, as long as the view stays the same.
+
+    Attributes
+    ----------
+    members : tuple of Member
+        The agents.
+    by_incarnation : dict
+        The same, by incarnation.
+    offering : frozenset of Capacity
+        What is offered, also where the service may not run now.
+    slots, homes : int
+        Slots of all candidates, and the number of all homes.
+    """
+
+    members: tuple[Member, ...]
+    by_incarnation: dict[str, Member]
+    offering: frozenset[Capacity]
+    slots: int
+    homes: int
+
+
 class Home:
     """All jobs at home in one agent.
 
@@ -96,9 +120,7 @@
     @property
     def queued_tasks(self):
         """Return the number of tasks that wait for a grant."""
-        return sum(
-            record.waiting for queue in self._queues.values() for record in queue
-        )
+        return sum(queue.waiting for queue in self._queues.values())
 
     @property
     def kept_answers(self):
@@ -311,19 +333,14 @@
         """Return the code with which a new job is refused, or None."""
         if job.birth_ms > now_ms + self._skew_ms:
             return Code.BIRTH_IN_FUTURE
-        agents = self._view.roster.present("agent")
-        slots = sum(
-            each.capacity.slots
-            for each in self._candidates_for(job.service)
-            if each.capacity is not None
-        )
-        homes = max(len(agents), 1)
+        candidates = self._candidates_for(job.service)
         queued = self.queued_tasks
-        wait_ms = self._run_times.wait_ms(job.service, queued, slots / homes)
+        slots = candidates.slots / max(candidates.homes, 1)
+        wait_ms = self._run_times.wait_ms(job.service, queued, slots)
         return refusal(
             job,
             self._view.configuration,
-            agents,
+            candidates.offering,
             queued,
             self._policy.queue_tasks,
             wait_ms,
@@ -361,33 +378,31 @@
     def _dispatch_service(self, service, now):
         """Grant the waiting tasks of one service as far as slots are known."""
         effects = []
-        agents = self._candidates_for(service)
+        candidates = self._candidates_for(service)
         queue = self._queues[service]
         while len(queue):
             record = queue.best(self._within_quota)
             if record is None:
                 return effects
-            fitting = _able(agents, record)
-            member = self._placement.free_agent(fitting, now)
+            task = record.job.tasks[record.next_task()]
+            member = self._placement.free_agent(
+                candidates.by_incarnation, _holds(task), now
+            )
             if member is None:
-                return effects + self._tell(service, fitting, queue, now)
+                return effects + self._tell(service, candidates, queue, now)
             effects.append(self._grant(record, member, False, now))
         return effects
 
-    def _tell(self, service, agents, queue, now):
+    def _tell(self, service, candidates, queue, now):
         """Tell some agents that work waits; they ask when a slot frees."""
         told = self._told_of(service)
-        best = next(iter(queue))
-        tasks = sum(each.waiting for each in queue)
-        message = Waiting(service, tasks, best.left)
+        message = Waiting(service, queue.waiting, queue.least_left)
         effects = []
-        own = [each for each in agents if each.incarnation == self._own.incarnation]
-        others = [each for each in agents if each.incarnation != self._own.incarnation]
-        if own and self._own.incarnation not in told:
-            told[self._own.incarnation] = now
+        own = self._own.incarnation
+        if own in candidates.by_incarnation and own not in told:
+            told[own] = now
             effects.append(Send(self._own, message))
-        others_told = [each for each in told if each != self._own.incarnation]
-        for member in self._placement.probe_agents(others, others_told):
+        for member in self._placement.probe_agents(candidates.members, told):
             told[member.incarnation] = now
             effects.append(Send(peer_of(member), message))
         return effects
@@ -407,8 +422,6 @@
         if not pulled:
             self._placement.granted(member.incarnation)
         queue = self._queues[job.service]
-        waiting = sum(each.waiting for each in queue)
-        left = next(iter(queue)).left if waiting else 0
         task = job.tasks[index]
         grant = Grant(
             number=number,
@@ -422,12 +435,12 @@
             cpus=task.cpus,
             accelerators=task.accelerators,
             lease_ms=self._view.configuration.service(job.service).lease_ms,
-            waiting=waiting,
-            left=left,
+            waiting=queue.waiting,
+            left=queue.least_left,
             pulled=pulled,
             trace=record.trace,
         )
-        if waiting and pulled:
+        if queue.waiting and pulled:
             self._told_of(job.service)[member.incarnation] = now
         return Send(agent, grant)
 
@@ -436,9 +449,7 @@
         queue = self._queues.get(service)
         if queue is None:
             return None
-        return queue.best(
-            lambda each: self._within_quota(each) and bool(_able([member], each))
-        )
+        return queue.best(lambda each: self._within_quota(each) and _able(member, each))
 
     def _within_quota(self, record):
         """Return whether the job's team may have one more task running."""
@@ -533,22 +544,13 @@
     def _candidates_for(self, service):
         """Return the agents whose targets may run a service."""
         if service not in self._candidates:
-            configuration = self._view.configuration
-            self._candidates[service] = [
-                each
-                for each in self._view.roster.present("agent")
-                if each.capacity is not None
-                and service in each.capacity.services
-                and configuration.permits(service, each.data_centre)
-            ]
+            self._candidates[service] = _candidates(self._view, service)
         return self._candidates[service]
 
     def _candidate(self, service, peer):
         """Return the candidate that a process is, or None."""
-        agents = self._candidates_for(service)
-        return next(
-            (each for each in agents if each.incarnation == peer.incarnation), None
-        )
+        candidates = self._candidates_for(service)
+        return candidates.by_incarnation.get(peer.incarnation)
 
     def _told_of(self, service):
         """Return which agents know that work of a service waits here."""
@@ -570,10 +572,37 @@
         return None if holder.present else homes.heir(holder, bucket_of(job_id))
 
 
-def _able(agents, record):
-    """Return the agents whose targets can hold the job's next task."""
+def _candidates(view, service):
+    """Return the agents that may run a service by a view, as `Candidates`."""
+    agents = view.roster.present("agent")
+    offering = [
+        each
+        for each in agents
+        if each.capacity is not None and service in each.capacity.services
+    ]
+    members = tuple(
+        each
+        for each in offering
+        if view.configuration.permits(service, each.data_centre)
+    )
+    return Candidates(
+        members,
+        {each.incarnation: each for each in members},
+        frozenset(each.capacity for each in offering),
+        sum(each.capacity.slots for each in members),
+        len(agents),
+    )
+
+
+def _able(member, record):
+    """Return whether a member's target can hold the job's next task."""
     task = record.job.tasks[record.next_task()]
-    return [each for each in agents if each.capacity.can_hold(task)]
+    return member.capacity.can_hold(task)
+
+
+def _holds(task):
+    """Return a function that says of a member whether its target holds a task."""
+    return lambda member: member.capacity.can_hold(task)
 
 
 def _reply(peer, request, answer):
--- a/ragwortlug/model.py
+++ b/ragwortlug/model.py
@@ -166,7 +166,7 @@
 
 def birth_of(job_id):
     """Return the Unix time in milliseconds that an id carries."""
-    return uuid.UUID(job_id).int >> UUID7_RANDOM_BITS
+    return int(job_id[:8] + job_id[9:13], 16)
 
 
 def is_final_failure(code):
--- a/ragwortlug/policy/admission.py
+++ b/ragwortlug/policy/admission.py
@@ -3,7 +3,7 @@
 from ragwortlug.codes import Code
 
 
-def refusal(job, configuration, agents, queued_tasks, queue_limit, wait_ms):
+def refusal(job, configuration, offering, queued_tasks, queue_limit, wait_ms):
     """Return the code with which a new job is refused, or None to admit it.
 
     Parameters
@@ -12,8 +12,8 @@
         The submission.
     configuration : Configuration
         What the operators have accepted.
-    agents : sequence of Member
-        Agents that are present.
+    offering : collection of Capacity
+        What targets of the job's service offer.
     queued_tasks, queue_limit : int
         Tasks that wait here, and how many may.
     wait_ms : float
@@ -25,11 +25,6 @@
         return Code.UNKNOWN_TEAM
     if configuration.rule_for(job.team, job.service, len(job.tasks)) is not None:
         return Code.REFUSED_BY_RULE
-    offering = [
-        each.capacity
-        for each in agents
-        if each.capacity is not None and job.service in each.capacity.services
-    ]
     if offering and not all(_fits(task, offering) for task in job.tasks):
         return Code.CAN_NEVER_RUN
     if queued_tasks + len(job.tasks) > queue_limit:
--- a/ragwortlug/policy/placement.py
+++ b/ragwortlug/policy/placement.py
@@ -5,6 +5,7 @@
 short time, less what was granted to it since.
 """
 
+import itertools
 from dataclasses import dataclass
 
 
@@ -55,35 +56,50 @@
         """Drop what is known of an agent."""
         self._hints.pop(incarnation, None)
 
-    def free_agent(self, agents, now):
+    def free_agent(self, agents, able, now):
         """Return the agent to grant to directly, or None if no slot is known free.
 
+        Only agents that have said so recently are looked at, however many there
+        are.
+
         Parameters
         ----------
-        agents : sequence of Member
-            The agents that may run the task.
+        agents : mapping of str to Member
+            The agents of the task's service, by incarnation.
+        able : callable
+            Says of a member whether its target can hold the task.
         now : float
             Monotonic seconds.
         """
-        free = [each for each in agents if self._believed_free(each, now)]
+        known = [agents[each] for each in self._fresh_hints(now) if each in agents]
+        free = [each for each in known if able(each)]
         if not free:
             return None
         return max(free, key=self._preference)
 
     def probe_agents(self, agents, told):
-        """Return the agents to tell of waiting work, besides those told already."""
-        if len(told) >= self._probes:
+        """Return agents to tell of waiting work, besides this one and those told."""
+        wanted = self._probes - sum(each != self._own for each in told)
+        if wanted <= 0:
             return []
-        others = [each for each in agents if each.incarnation not in told]
-        return self._random.sample(others, min(self._probes - len(told), len(others)))
-
-    def _believed_free(self, member, now):
-        """Return whether a slot of the agent is believed to be free."""
-        hint = self._hints.get(member.incarnation)
-        if hint is None or hint.free <= 0:
-            return False
-        own = member.incarnation == self._own
-        return own or now - hint.at < self._hint_s
+        drawn = self._random.sample(agents, min(len(agents), wanted + len(told) + 1))
+        others = (
+            each
+            for each in drawn
+            if each.incarnation != self._own and each.incarnation not in told
+        )
+        return list(itertools.islice(others, wanted))
+
+    def _fresh_hints(self, now):
+        """Return the agents with a slot believed to be free; drop stale hints."""
+        stale = [
+            each
+            for each, hint in self._hints.items()
+            if each != self._own and now - hint.at >= self._hint_s
+        ]
+        for each in stale:
+            del self._hints[each]
+        return [each for each, hint in self._hints.items() if hint.free > 0]
 
     def _preference(self, member):
         """Return a key: own slots, then the data centre's, then the freest."""
--- a/ragwortlug/policy/queue.py
+++ b/ragwortlug/policy/queue.py
@@ -22,6 +22,8 @@
     def __init__(self, aging_ms_per_task):
         self._handicap_s = aging_ms_per_task / MS_PER_S
         self._places = {}
+        self._tasks = {}
+        self._waiting = 0
         self._records = SortedKeyList(key=lambda each: self._places[each.job.id])
 
     def __len__(self):
@@ -30,6 +32,16 @@
     def __iter__(self):
         return iter(self._records)
 
+    @property
+    def waiting(self):
+        """Return the number of tasks that wait, of all jobs together."""
+        return self._waiting
+
+    @property
+    def least_left(self):
+        """Return the rest of the first job; 0 if none waits."""
+        return self._records[0].left if self._records else 0
+
     def update(self, record):
         """Put a job in its place, or take it out if no task of it waits."""
         self.remove(record)
@@ -37,12 +49,15 @@
             place = record.arrived + self._handicap_s * record.left
             self._places[record.job.id] = (place, record.job.id)
             self._records.add(record)
+            self._tasks[record.job.id] = record.waiting
+            self._waiting += record.waiting
 
     def remove(self, record):
         """Take a job out, if it is there."""
         if record.job.id in self._places:
             self._records.remove(record)
             del self._places[record.job.id]
+            self._waiting -= self._tasks.pop(record.job.id)
 
     def best(self, allowed):
         """Return the first job that `allowed` lets through, or None."""
--- a/standins/load.py
+++ b/standins/load.py
@@ -10,6 +10,9 @@
 
 LONG_SHARE = 0.05
 SMALL_SHARE = 0.8
+BURST_PERIOD_S = 5.0
+BURST_SHARE = 0.1
+BURST_FACTOR = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +54,37 @@
         return rng.randint(self.shortest_ms, self.longest_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One job to come: when, in seconds from the beginning, and its run times."""
+
+    at_s: float
+    run_ms: tuple[int, ...]
+
+
+def arrivals(mix, jobs_per_s, duration_s, seed, bursts=False):
+    """Return random arrivals, the same for the same seed.
+
+    With `bursts`, a tenth of the time has four times the rate; the mean is kept.
+    """
+    rng = random.Random(seed)
+    found = []
+    at_s = 0.0
+    while True:
+        rate = jobs_per_s * (_burst_factor(at_s) if bursts else 1.0)
+        at_s += rng.expovariate(rate)
+        if at_s >= duration_s:
+            return found
+        found.append(Arrival(at_s, tuple(mix.tasks(rng))))
+
+
+def _burst_factor(at_s):
+    """Return how much faster jobs come at an instant."""
+    in_burst = at_s % BURST_PERIOD_S < BURST_PERIOD_S * BURST_SHARE
+    calm = (1 - BURST_SHARE * BURST_FACTOR) / (1 - BURST_SHARE)
+    return BURST_FACTOR if in_burst else calm
+
+
 @dataclass(frozen=True, slots=True)
 class Told:
     """What one caller submitted and was told."""
@@ -79,27 +113,32 @@
     mix : Mix
         What the jobs are.
     seed : int
-        Of the arrivals, sizes and run times.
+        Of the arrivals, sizes, run times and teams.
+    one_way_s : float
+        Time on the wire between callers and entries, added on both ways.
     """
 
-    def __init__(self, client, service, teams, mix, seed):
+    def __init__(self, client, service, teams, mix, seed, one_way_s=0.0):
         self._client = client
         self._service = service
         self._teams = teams
         self._mix = mix
+        self._seed = seed
+        self._one_way_s = one_way_s
         self._random = random.Random(seed)
         self._under_way = set()
         self.told = []
 
     async def run(self, jobs_per_s, duration_s):
         """Submit jobs for a while; answers may still be under way after it."""
-        until = time.monotonic() + duration_s
-        due = time.monotonic()
-        while due < until:
-            due += self._random.expovariate(jobs_per_s)
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            run_ms = tuple(self._mix.tasks(self._random))
-            call = asyncio.create_task(self._submit(run_ms))
+        await self.play(arrivals(self._mix, jobs_per_s, duration_s, self._seed))
+
+    async def play(self, coming):
+        """Submit the jobs that are to come, each at its time."""
+        began = time.monotonic()
+        for each in coming:
+            await asyncio.sleep(max(0.0, began + each.at_s - time.monotonic()))
+            call = asyncio.create_task(self._submit(each))
             self._under_way.add(call)
             call.add_done_callback(self._under_way.discard)
 
@@ -111,13 +150,16 @@
                 raise AssertionError(f"{len(missing)} jobs got no answer")
         return self.told
 
-    async def _submit(self, run_ms):
+    async def _submit(self, arrival):
         """Submit one job and keep what is told."""
+        run_ms = arrival.run_ms
         tasks = tuple(Task(payload={"run_ms": each}, run_ms=each) for each in run_ms)
         team = self._random.choice(self._teams)
         job = Job(new_job_id(), team, self._service, tasks)
         began = time.monotonic()
+        await asyncio.sleep(self._one_way_s)
         answer = await self._client.submit_job(job)
+        await asyncio.sleep(self._one_way_s)
         self.told.append(Told(job, answer, began, time.monotonic(), run_ms))
 
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -41,6 +41,8 @@
         self.starts = Counter()
         self.started_at = []
         self.late_refusals = 0
+        self.intervals = []
+        self.slowness = 1.0
         self.fail_all = False
         self.peak = 0
         self.app = web.Application(client_max_size=1 << 24)
@@ -109,7 +111,8 @@
         self.starts[name] += 1
         self.started_at.append((now_ms, name))
         payload = body.get("payload") or {}
-        running = asyncio.ensure_future(asyncio.sleep(payload.get("run_ms", 0) / 1000))
+        run_s = payload.get("run_ms", 0) / 1000 * self.slowness
+        running = asyncio.ensure_future(asyncio.sleep(0 if self.fail_all else run_s))
         self._running[body["id"]] = running
         self.peak = max(self.peak, len(self._running))
         try:
@@ -118,6 +121,7 @@
             return web.json_response({"error": "stopped"}, status=500)
         finally:
             del self._running[body["id"]]
+            self.intervals.append((now_ms / 1000, time.time()))
         if payload.get("lose_reply"):
             request.transport.abort()
         if payload.get("fail") or self.fail_all:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -78,6 +78,10 @@
         for each in range(count):
             self.world.deliver(index + each, keep=True)
 
+    @rule()
+    def double_all(self):
+        self.world.double_all()
+
     @rule(index=INDEX)
     def drop(self, index):
         self.world.drop(index)
@@ -197,7 +201,10 @@
         elif not found.home.open_jobs:
             self.world.perform(found, found.home.hand_over())
 
-    @rule(centre=st.sampled_from(CENTRES), in_service=st.booleans())
+    @rule(
+        centre=st.sampled_from(CENTRES),
+        in_service=st.sampled_from((True, True, True, False)),
+    )
     def set_in_service(self, centre, in_service):
         self.world.set_in_service(centre, in_service)
 
@@ -208,6 +215,7 @@
         for _ in range(3):
             self.submit_new(1, 0, 0)
         self.flow()
+        self.world.set_in_service(centre, True)
 
     @invariant()
     def promises_hold(self):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -30,6 +30,11 @@
     return Placement("own", "patan", 1.0, probes, random.Random(1))
 
 
+def choose(chooser, agents, now):
+    by_incarnation = {each.incarnation: each for each in agents}
+    return chooser.free_agent(by_incarnation, lambda _: True, now)
+
+
 class TestQueue:
     def test_fewest_tasks_left_goes_first(self):
         queue = WaitingQueue(AGING_MS)
@@ -61,17 +66,17 @@
         for each in agents:
             chooser.learn(each.incarnation, 2, 0.0)
         chooser.learn("far", 8, 0.0)
-        assert chooser.free_agent(agents, 0.1).incarnation == "own"
-        assert chooser.free_agent(agents[:2], 0.1).incarnation == "near"
+        assert choose(chooser, agents, 0.1).incarnation == "own"
+        assert choose(chooser, agents[:2], 0.1).incarnation == "near"
 
     def test_hints_grow_stale_and_grants_use_them_up(self):
         chooser = placement()
         agents = [agent("near")]
         chooser.learn("near", 1, 0.0)
-        assert chooser.free_agent(agents, 1.5) is None
+        assert choose(chooser, agents, 1.5) is None
         chooser.learn("near", 1, 2.0)
         chooser.granted("near")
-        assert chooser.free_agent(agents, 2.1) is None
+        assert choose(chooser, agents, 2.1) is None
 
     def test_probes_are_bounded(self):
         agents = [agent(str(each)) for each in range(9)]
--- a/tests/world.py
+++ b/tests/world.py
@@ -47,6 +47,7 @@
 TEAM = "gyanbhandar"
 ENTRY = Peer("tcp://entry", "entry-x")
 EPOCH_MS = 1_700_000_000_000
+MOST_DOUBLED = 60
 CAPACITY = Capacity((SERVICE,), slots=2)
 
 TIMED = (Pull, Refused, Load)
@@ -292,6 +293,11 @@
         elif agent is not None:
             self.handle(agent, sender, effect.body)
 
+    def double_all(self):
+        """Let every message under way come twice, within reason."""
+        if len(self.network) < MOST_DOUBLED:
+            self.network += self.network
+
     def drop(self, index):
         """Lose one message."""
         if self.network:
