--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,10 +4,16 @@
 import asyncio
 import sys
 
-from bench import control, path, scenarios
+from bench import control, force, path, scenarios, slopes
+
+
+async def _slopes(_parsed):
+    slopes.measure()
 
 
 async def _all(parsed):
+    slopes.measure()
+    await force.measure()
     await path.measure(parsed.seed)
     await control.measure()
     await scenarios.measure(parsed.seed)
@@ -22,6 +28,10 @@
     command.set_defaults(run=lambda parsed: path.measure(parsed.seed))
     command = commands.add_parser("control", help=control.__doc__)
     command.set_defaults(run=lambda _: control.measure())
+    command = commands.add_parser("force", help=force.__doc__)
+    command.set_defaults(run=lambda _: force.measure())
+    command = commands.add_parser("slopes", help=slopes.__doc__)
+    command.set_defaults(run=_slopes)
     command = commands.add_parser("scenarios", help=scenarios.__doc__)
     command.add_argument("--seed", type=int, default=1)
     command.add_argument("--deployment", action="append")
--- a/ragwortlug/compose.py
+++ b/ragwortlug/compose.py
@@ -77,6 +77,7 @@
     kernel.register("http", server)
     metrics.gauge("pending_requests", lambda: relay.pending)
     metrics.gauge("view_age_seconds", lambda: view.age_s(timer.monotonic()) or -1)
+    metrics.gauge("configuration", lambda: view.configuration.version)
     shutdown = EntryShutdown(keeper, relay, operators, timer, settings.drain_s)
     kernel.register("shutdown", shutdown)
     return kernel
@@ -131,6 +132,7 @@
     server.app.add_routes(health_routes(metrics))
     kernel.register("http", server)
     metrics.gauge("view_age_seconds", lambda: view.age_s(timer.monotonic()) or -1)
+    metrics.gauge("configuration", lambda: view.configuration.version)
     shutdown = AgentShutdown(home_actor, runner_actor, keeper, timer)
     kernel.register("shutdown", shutdown)
     return kernel
--- a/ragwortlug/io/targets.py
+++ b/ragwortlug/io/targets.py
@@ -83,7 +83,12 @@
         """Open the connection pool."""
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            headers={"Content-Type": "application/json"},
+        )
 
     async def stop(self):
         """Close the connection pool."""
@@ -135,11 +140,8 @@
 
     async def _post(self, url, body):
         """Hand a task over and wait for its end."""
-        async with self._session.post(
-            f"{url}/tasks",
-            data=_encoder.encode(body),
-            headers={"Content-Type": "application/json"},
-        ) as response:
+        data = _encoder.encode(body)
+        async with self._session.post(f"{url}/tasks", data=data) as response:
             raw = await response.read()
         if response.status == Code.LEASE_TOO_LATE.http_status:
             return NotStarted(Code.LEASE_TOO_LATE)
--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -320,7 +320,7 @@
             if not self._view.confirmed(now):
                 code = Code.HOME_UNCONFIRMED
             else:
-                self._keep(job, Answer(job.id, int(code)), now_ms)
+                self._keep(job, job.digest(), Answer(job.id, int(code)), now_ms)
             return [_refuse(sender, message.request, job.id, code)]
         deadline = now + job.deadline_ms / 1000 if job.deadline_ms else None
         record = JobRecord(job, deadline, now, message.trace)
@@ -519,13 +519,13 @@
         """Keep a job's answer and send it to all who wait for it."""
         job = record.job
         del self._records[job.id]
-        self._keep(job, record.answer, now_ms)
+        self._keep(job, record.digest, record.answer, now_ms)
         waiters = self._waiters.pop(job.id, {})
         return [_reply(peer, request, record.answer) for peer, request in waiters]
 
-    def _keep(self, job, answer, now_ms):
+    def _keep(self, job, digest, answer, now_ms):
         """Keep the answer to a job."""
-        self._ledger.keep(job.id, job.team, job.digest(), answer, now_ms)
+        self._ledger.keep(job.id, job.team, digest, answer, now_ms)
 
     def _withdrawn(self, job):
         """Return why a job known here may not go on, or None."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -26,12 +26,15 @@
         How many of the next writes are applied without an answer.
     late_s : float
         How long those writes wait before they are applied.
+    down_after_writes : int
+        The store goes down once it has answered so many writes; 0 for never.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    down_after_writes: int = 0
 
 
 class StoreStandin:
@@ -87,7 +90,11 @@
             await asyncio.sleep(0)
             request.transport.abort()
             return web.Response(status=500)
-        return web.json_response({"succeeded": self._apply(body)})
+        applied = self._apply(body)
+        if applied and self.faults.down_after_writes:
+            self.faults.down_after_writes -= 1
+            self.faults.down = not self.faults.down_after_writes
+        return web.json_response({"succeeded": applied})
 
     async def _apply_late(self, body, delay_s):
         """Apply a write whose answer is lost."""
