Let the callers' client pass over an entry that has just failed

Change: a connection that fails is tried at another entry at once, and the entry is avoided for 2 s.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from bench import ideal
@@ -50,6 +51,15 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What a scenario does: the load, a fault, and how long entries may vouch."""
+
+    load: float
+    fault: Callable | None = None
+    vouch_s: float = 300.0
+
+
 async def measure(seed, names=None, scenarios=None):
     """Run the scenarios of the deployments, all of them by default."""
     for deployment in DEPLOYMENTS:
@@ -57,15 +67,17 @@
             continue
         for load in LOADS:
             if not scenarios or f"load-{load}" in scenarios:
-                await _run(deployment, f"load-{load}", load, None, seed)
-        for name, (load, fault) in FAULTS.items():
+                await _run(deployment, f"load-{load}", Scenario(load), seed)
+        for name, scenario in FAULTS.items():
             if not scenarios or name in scenarios:
-                await _run(deployment, name, load, fault, seed)
+                await _run(deployment, name, scenario, seed)
 
 
-async def _run(deployment, name, load, fault, seed):
+async def _run(deployment, name, scenario, seed):
     """Run one scenario and print its line."""
-    plan = replace(deployment.plan, log_level="ERROR")
+    load, fault = scenario.load, scenario.fault
+    view = replace(deployment.plan.view, vouch_s=scenario.vouch_s)
+    plan = replace(deployment.plan, log_level="ERROR", view=view)
     fleet = Fleet(plan)
     play_s = FAULT_PLAY_S if fault else PLAY_S
     jobs_per_s = load * deployment.slots / MIX.mean_work_s()
@@ -326,11 +338,12 @@
 
 
 FAULTS = {
-    "data-centre-leaves": (1.2, _data_centre_leaves),
-    "store-down": (0.85, _store_down),
-    "agent-killed": (0.6, _agent_killed),
-    "entry-killed": (0.6, _entry_killed),
-    "straggler": (0.6, _straggler),
-    "failing-worker": (0.6, _failing_worker),
-    "overload": (2.0, None),
+    "data-centre-leaves": Scenario(1.2, _data_centre_leaves),
+    "store-down": Scenario(0.85, _store_down),
+    "store-down-without-vouching": Scenario(0.85, _store_down, vouch_s=0.0),
+    "agent-killed": Scenario(0.6, _agent_killed),
+    "entry-killed": Scenario(0.6, _entry_killed),
+    "straggler": Scenario(0.6, _straggler),
+    "failing-worker": Scenario(0.6, _failing_worker),
+    "overload": Scenario(2.0),
 }
--- a/ragwortlug/client.py
+++ b/ragwortlug/client.py
@@ -1,6 +1,7 @@
 """The callers' client: submits jobs, and resubmits them safely to other entries."""
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -12,6 +13,7 @@
 
 TRIES = 4
 PAUSE_S = 0.2
+AVOID_S = 2.0
 TRANSIENT = frozenset(
     {Code.HOME_CHANGING, Code.NO_HOME, Code.HOME_UNCONFIRMED, Code.INTERNAL}
 )
@@ -62,6 +64,7 @@
         self._entries = list(entries)
         self._team = team
         self._turn = 0
+        self._avoided_until = {}
         self._session = None
 
     async def __aenter__(self):
@@ -96,9 +99,9 @@
             except (aiohttp.ClientError, ConnectionError) as error:
                 detail = f"{type(error).__name__}: {error}"
                 answer = Answer(job.id, int(Code.OUTCOME_UNKNOWN), (), detail)
-            else:
-                if answer.code not in TRANSIENT:
-                    return answer
+                continue
+            if answer.code not in TRANSIENT:
+                return answer
             await asyncio.sleep(PAUSE_S)
         return answer
 
@@ -126,16 +129,26 @@
         return f"/jobs/{job_id}?team={self._team}&wait={int(wait)}"
 
     def _next_entry(self):
-        """Return the entry whose turn it is."""
-        self._turn += 1
-        return self._entries[self._turn % len(self._entries)]
+        """Return the entry whose turn it is, one that has not just failed."""
+        now = time.monotonic()
+        for _ in self._entries:
+            self._turn += 1
+            entry = self._entries[self._turn % len(self._entries)]
+            if self._avoided_until.get(entry, 0.0) <= now:
+                return entry
+        return entry
 
     async def _call(self, method, path, body=None):
         """Make a request about a job and return the answer."""
         data = None if body is None else _encoder.encode(body)
-        url = self._next_entry() + path
-        async with self._session.request(method, url, data=data) as response:
-            raw = await response.read()
+        entry = self._next_entry()
+        url = entry + path
+        try:
+            async with self._session.request(method, url, data=data) as response:
+                raw = await response.read()
+        except (aiohttp.ClientError, ConnectionError):
+            self._avoided_until[entry] = time.monotonic() + AVOID_S
+            raise
         try:
             reply = _replies.decode(raw)
         except msgspec.DecodeError as error:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -97,6 +97,18 @@
 
         run_fleet(PLAN, scenario)
 
+    def test_callers_pass_over_a_dead_entry_at_once(self, run_fleet):
+        async def scenario(fleet, client):
+            await fleet.kill("entry-2")
+            began = time.monotonic()
+            for _ in range(12):
+                answer = await client.submit(PLAN.service, [{"run_ms": 1}])
+                assert answer.code == Code.OK
+            assert client._avoided_until
+            assert time.monotonic() - began < 12 * 0.2
+
+        run_fleet(PLAN, scenario)
+
 
 class TestFreezes:
     def test_frozen_agents_start_nothing_after_their_data_centre_left(self, run_fleet):
