Give slow agents one task at a time

Change: a home smooths each agent's run times; one above 2.5 times the median gets one task at a time, which also shows its recovery.

--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from functools import partial
 
 from ragwortlug.codes import Code, Verdict
 from ragwortlug.invariants import Invariant, check
@@ -32,6 +33,7 @@
 from ragwortlug.policy.admission import refusal
 from ragwortlug.policy.estimates import RunTimes
 from ragwortlug.policy.queue import WaitingQueue
+from ragwortlug.policy.stragglers import Stragglers
 from ragwortlug.view.homes import bucket_of
 from ragwortlug.view.roster import Member
 
@@ -107,6 +109,8 @@
         self._queues = {}
         self._told = {}
         self._run_times = RunTimes()
+        self._stragglers = Stragglers()
+        self._granted_to = Counter()
         self._candidates = {}
         self._shares = {}
         self._handovers = {}
@@ -219,6 +223,7 @@
             return self.dispatch(now)
         if Code(message.code).verdict is Verdict.DONE:
             self._run_times.learn(out.record.job.service, message.run_ms)
+            self._stragglers.learn(sender.incarnation, message.run_ms)
         outcome = TaskOutcome(message.code, message.result, message.detail)
         effects = self._end(out, outcome, now, now_ms)
         return effects + self.dispatch(now)
@@ -249,6 +254,7 @@
         effects = []
         lost = {each.incarnation for each in self._view.roster.members if each.lost}
         present = {each.incarnation for each in self._view.roster.present("agent")}
+        self._stragglers.keep(present)
         for number, out in tuple(self._grants.items()):
             gone = out.agent.incarnation in lost - present
             if gone and number in self._grants:
@@ -384,9 +390,8 @@
             record = queue.best(self._within_quota)
             if record is None:
                 return effects
-            task = record.job.tasks[record.next_task()]
             member = self._placement.free_agent(
-                candidates.by_incarnation, _holds(task), now
+                candidates.by_incarnation, partial(self._may_get_next, record), now
             )
             if member is None:
                 return effects + self._tell(service, candidates, queue, now)
@@ -419,6 +424,7 @@
         agent = peer_of(member)
         self._grants[number] = OutGrant(record, index, agent, now)
         self._running[job.team] += 1
+        self._granted_to[agent.incarnation] += 1
         if not pulled:
             self._placement.granted(member.incarnation)
         queue = self._queues[job.service]
@@ -449,7 +455,19 @@
         queue = self._queues.get(service)
         if queue is None:
             return None
-        return queue.best(lambda each: self._within_quota(each) and _able(member, each))
+        return queue.best(
+            lambda each: self._within_quota(each) and self._may_get_next(each, member)
+        )
+
+    def _may_get_next(self, record, member):
+        """Return whether an agent may get a job's next task.
+
+        Its target must be able to hold it, and a slow one gets one at a time.
+        """
+        name = member.incarnation
+        if name in self._stragglers.slow and self._granted_to[name] > 0:
+            return False
+        return member.capacity.can_hold(record.job.tasks[record.next_task()])
 
     def _within_quota(self, record):
         """Return whether the job's team may have one more task running."""
@@ -475,6 +493,7 @@
             return None
         del self._grants[number]
         self._running[out.record.job.team] -= 1
+        self._granted_to[sender.incarnation] -= 1
         return out
 
     def _probe_silent(self, now):
@@ -594,17 +613,6 @@
     )
 
 
-def _able(member, record):
-    """Return whether a member's target can hold the job's next task."""
-    task = record.job.tasks[record.next_task()]
-    return member.capacity.can_hold(task)
-
-
-def _holds(task):
-    """Return a function that says of a member whether its target holds a task."""
-    return lambda member: member.capacity.can_hold(task)
-
-
 def _reply(peer, request, answer):
     """Return the message that answers a request."""
     return Send(peer, Reply(request, answer))
