Tell fewer agents of few waiting tasks; take back grants right after a pull

Cause of wasted messages: at 60% load 0.12 pulls a task were answered with nothing, 0.10 grants refused, 0.09 long tasks and requests asked after.

Change: no more agents are told than one above the number of waiting tasks.

--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -197,7 +197,7 @@
             self._placement.learn(sender.incarnation, message.free + 1, now)
             return [Send(sender, Nothing(message.service))]
         self._placement.learn(sender.incarnation, message.free, now)
-        return [self._grant(record, member, True, now), *self.dispatch(now)]
+        return [self._grant(record, member, True, now)]
 
     def refused(self, sender, message, now):
         """Let a task wait again that an agent has recorded as not started."""
@@ -407,7 +407,9 @@
         if own in candidates.by_incarnation and own not in told:
             told[own] = now
             effects.append(Send(self._own, message))
-        for member in self._placement.probe_agents(candidates.members, told):
+        for member in self._placement.probe_agents(
+            candidates.members, told, queue.waiting
+        ):
             told[member.incarnation] = now
             effects.append(Send(peer_of(member), message))
         return effects
--- a/ragwortlug/policy/placement.py
+++ b/ragwortlug/policy/placement.py
@@ -77,9 +77,14 @@
             return None
         return max(free, key=self._preference)
 
-    def probe_agents(self, agents, told):
-        """Return agents to tell of waiting work, besides this one and those told."""
-        wanted = self._probes - sum(each != self._own for each in told)
+    def probe_agents(self, agents, told, waiting):
+        """Return agents to tell of waiting work, besides this one and those told.
+
+        For few `waiting` tasks few agents are told: all but as many of them
+        would ask in vain.
+        """
+        most = min(self._probes, waiting + 1)
+        wanted = most - sum(each != self._own for each in told)
         if wanted <= 0:
             return []
         drawn = self._random.sample(agents, min(len(agents), wanted + len(told) + 1))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -81,9 +81,10 @@
 
     def test_probes_are_bounded(self):
         agents = [agent(str(each)) for each in range(9)]
-        assert len(placement().probe_agents(agents, [])) == 3
-        assert len(placement().probe_agents(agents, ["1", "2"])) == 1
-        assert placement().probe_agents(agents, ["1", "2", "3"]) == []
+        assert len(placement().probe_agents(agents, [], 9)) == 3
+        assert len(placement().probe_agents(agents, [], 1)) == 2
+        assert len(placement().probe_agents(agents, ["1", "2"], 9)) == 1
+        assert placement().probe_agents(agents, ["1", "2", "3"], 9) == []
 
 
 class TestQuotas:
