Take back the treatment of slow agents: it did not help

The eight slots fill with slow tasks before the first one ends, and those decide the tail; after that little is left to save.

Conclusion: reverted, one mechanism less.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -19,7 +19,7 @@
 from standins.fleet import Fleet
 from standins.load import Load, Mix, arrivals, violations
 
-QUANTILES = (50, 99, 99.9)
+QUANTILES = (50, 95, 99, 99.9)
 WASTED = ("Nothing", "Refused", "Probe", "Moved", "Fetch", "Stop")
 CONTROL = ("Poll", "Confirmation", "News", "Announce", "Announced", "Spans")
 MIX = Mix()
--- a/ragwortlug/cli.py
+++ b/ragwortlug/cli.py
@@ -26,7 +26,6 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
-EXIT_USAGE = 2
 EXIT_NOT_RUN = 3
 EXIT_UNKNOWN = 4
 EXIT_SETTINGS = 5
--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -13,7 +13,7 @@
 
 from ragwortlug.codes import Code
 from ragwortlug.errors import MessageError
-from ragwortlug.messages import Envelope, Peer, Rejected, decode, encode
+from ragwortlug.messages import Envelope, Rejected, decode, encode
 from ragwortlug.telemetry.logs import logger
 
 QUEUED_MESSAGES = 20_000
@@ -193,8 +193,3 @@
             if now - used > IDLE_S:
                 socket.close()
                 del self._dealers[address]
-
-
-def peer(address, incarnation=""):
-    """Return the process at an address; without incarnation, whichever is there."""
-    return Peer(address, incarnation)
--- a/ragwortlug/jobs/grants.py
+++ b/ragwortlug/jobs/grants.py
@@ -24,7 +24,6 @@
         self._grants = {}
         self._last_number = 0
         self._by_team = Counter()
-        self._by_agent = Counter()
         self._late = 0
 
     @property
@@ -36,16 +35,11 @@
         """Return the number of a team's grants that are out."""
         return self._by_team[team]
 
-    def at_agent(self, incarnation):
-        """Return the number of grants that an agent has."""
-        return self._by_agent[incarnation]
-
     def issue(self, record, index, agent, now):
         """Take note of a new grant and return its number."""
         self._last_number += 1
         self._grants[self._last_number] = OutGrant(record, index, agent, now)
         self._by_team[record.job.team] += 1
-        self._by_agent[agent.incarnation] += 1
         return self._last_number
 
     def take(self, sender, number):
@@ -56,7 +50,6 @@
             return None
         del self._grants[number]
         self._by_team[out.record.job.team] -= 1
-        self._by_agent[sender.incarnation] -= 1
         return out
 
     def take_from(self, incarnations):
--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -31,7 +31,6 @@
 from ragwortlug.policy.directory import Directory
 from ragwortlug.policy.estimates import RunTimes
 from ragwortlug.policy.queue import WaitingQueue
-from ragwortlug.policy.stragglers import Stragglers
 from ragwortlug.view.homes import bucket_of
 
 PROBE_AFTER_S = 5.0
@@ -72,7 +71,6 @@
         self._queues = {}
         self._told = {}
         self._run_times = RunTimes()
-        self._stragglers = Stragglers()
         self._handovers = {}
         self._handover_begun = False
 
@@ -191,7 +189,6 @@
             return self.dispatch(now)
         if Code(message.code).verdict is Verdict.DONE:
             self._run_times.learn(out.record.job.service, message.run_ms)
-            self._stragglers.learn(sender.incarnation, message.run_ms)
         outcome = TaskOutcome(message.code, message.result, message.detail)
         effects = self._end(out, outcome, now, now_ms)
         return effects + self.dispatch(now)
@@ -221,7 +218,6 @@
         effects = []
         lost = {each.incarnation for each in self._view.roster.members if each.lost}
         present = {each.incarnation for each in self._view.roster.present("agent")}
-        self._stragglers.keep(present)
         for out in self._grants.take_from(lost - present):
             outcome = TaskOutcome(int(Code.AGENT_LOST))
             effects += self._end(out, outcome, now, now_ms)
@@ -361,7 +357,7 @@
             if record is None:
                 return effects
             member = self._placement.free_agent(
-                candidates.by_incarnation, partial(self._may_get_next, record), now
+                candidates.by_incarnation, partial(_can_hold_next, record), now
             )
             if member is None:
                 return effects + self._tell(service, candidates, queue, now)
@@ -424,19 +420,9 @@
         if queue is None:
             return None
         return queue.best(
-            lambda each: self._within_quota(each) and self._may_get_next(each, member)
+            lambda each: self._within_quota(each) and _can_hold_next(each, member)
         )
 
-    def _may_get_next(self, record, member):
-        """Return whether an agent may get a job's next task.
-
-        Its target must be able to hold it, and a slow one gets one at a time.
-        """
-        name = member.incarnation
-        if name in self._stragglers.slow and self._grants.at_agent(name) > 0:
-            return False
-        return member.capacity.can_hold(record.job.tasks[record.next_task()])
-
     def _within_quota(self, record):
         """Return whether the job's team may have one more task running."""
         team = record.job.team
@@ -521,6 +507,11 @@
         return None if holder.present else homes.heir(holder, bucket_of(job_id))
 
 
+def _can_hold_next(record, member):
+    """Return whether a member's target can hold a job's next task."""
+    return member.capacity.can_hold(record.job.tasks[record.next_task()])
+
+
 def _reply(peer, request, answer):
     """Return the message that answers a request."""
     return Send(peer, Reply(request, answer))
--- a/ragwortlug/model.py
+++ b/ragwortlug/model.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ragwortlug.codes import Code, Verdict
+from ragwortlug.codes import Code
 
 MAX_TASKS = 150
 MAX_NAME_LENGTH = 100
@@ -167,8 +167,3 @@
 def birth_of(job_id):
     """Return the Unix time in milliseconds that an id carries."""
     return int(job_id[:8] + job_id[9:13], 16)
-
-
-def is_final_failure(code):
-    """Return whether a task with this code makes its whole job fail."""
-    return Code(code).verdict is not Verdict.DONE
--- a/ragwortlug/relay.py
+++ b/ragwortlug/relay.py
@@ -141,23 +141,20 @@
             asked=pending.job_id,
             answered=message.answer.id,
         )
-        lost_submission = message.answer.code == Code.NO_RECORD and isinstance(
-            pending.message, Submit
-        )
+        unknown = message.answer.code == Code.NO_RECORD
+        if unknown and isinstance(pending.message, Submit):
+            self._submission_unknown(sender, message.request, pending)
+            return
+        self._answer(message.request, pending, message.answer)
+
+    def _submission_unknown(self, sender, request, pending):
+        """Submit again to a home that never got the job; an heir can't run it."""
         home = self._view.homes.home(pending.job_id)
-        if (
-            lost_submission
-            and home is not None
-            and (home.incarnation == sender.incarnation)
-        ):
-            self._send(message.request, pending)
+        if home is not None and home.incarnation == sender.incarnation:
             self._metrics.count("requests_repeated", "Submit")
+            self._send(request, pending)
             return
-        if lost_submission:
-            lost = Answer(pending.job_id, int(Code.HOME_LOST))
-            self._answer(message.request, pending, lost)
-            return
-        self._answer(message.request, pending, message.answer)
+        self._answer(request, pending, Answer(pending.job_id, int(Code.HOME_LOST)))
 
     def _moved(self, _sender, message):
         """Send a request on once the roster that moved the id is known."""
--- a/ragwortlug/view/census.py
+++ b/ragwortlug/view/census.py
@@ -3,7 +3,7 @@
 Every entry takes its own; their changes meet in the store's compare-and-swap.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ragwortlug.view.roster import Member, RosterChange, incarnation_of
 
@@ -149,8 +149,3 @@
 def _differs(known, member):
     """Return whether a present member's capacity is other than the roster says."""
     return known is not None and known.present and known.capacity != member.capacity
-
-
-def with_stay(member, name):
-    """Return a member's next stay."""
-    return replace(member, name=name, since_ms=0, until_ms=None)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,7 +11,6 @@
 from ragwortlug.policy.health import FAILURES_TO_REST, REST_S, WorkerHealth
 from ragwortlug.policy.placement import Placement
 from ragwortlug.policy.queue import WaitingQueue
-from ragwortlug.policy.stragglers import Stragglers
 from ragwortlug.view.note import Team
 from ragwortlug.view.roster import Member
 
@@ -121,35 +120,3 @@
         health.failed(REST_S)
         assert health.slots(4, REST_S + REST_S) == 0
         assert health.slots(4, REST_S + 2 * REST_S) == 1
-
-
-class TestStragglers:
-    def learned(self, means_ms, samples=20):
-        stragglers = Stragglers()
-        for _ in range(samples):
-            for name, mean_ms in means_ms.items():
-                stragglers.learn(name, mean_ms)
-        return stragglers
-
-    def test_far_slower_agent_is_found_and_returns(self):
-        stragglers = self.learned({"a": 100, "b": 120, "c": 90, "d": 500})
-        assert stragglers.slow == {"d"}
-        for _ in range(20):
-            stragglers.learn("d", 100)
-        assert stragglers.slow == frozenset()
-
-    def test_few_samples_or_few_agents_prove_nothing(self):
-        few = self.learned({"a": 100, "b": 120, "c": 90, "d": 900}, samples=5)
-        assert few.slow == frozenset()
-        assert self.learned({"a": 100, "d": 900}).slow == frozenset()
-
-    @given(st.integers(0, 1 << 32))
-    def test_ordinary_spread_of_run_times_is_no_straggler(self, seed):
-        rng = random.Random(seed)
-        stragglers = Stragglers()
-        for _ in range(40):
-            for name in "abcdefgh":
-                long = rng.random() < 0.05
-                run_ms = rng.uniform(2000, 4000) if long else rng.uniform(50, 1000)
-                stragglers.learn(name, run_ms)
-        assert len(stragglers.slow) <= 1
