--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -101,10 +101,20 @@
         Where messages of other processes are taken, ``tcp://IP:PORT``.
     http : str
         Where callers and operators are served, ``tcp://IP:PORT``.
+    data_centre : str
+        Where the entry runs.
     store : str
         URL of the platform's store.
+    prefix : str
+        Put before every key in the store.
     body_limit_kb : int
         Largest body of a request.
+    drain_s : float
+        How long the balancer gets to notice a shutdown.
+    trace_share : float
+        Share of the jobs that are traced.
+    check_invariants : bool
+        Whether broken invariants raise.
     """
 
     address: str
@@ -130,8 +140,14 @@
         Where messages of other processes are taken, ``tcp://IP:PORT``.
     http : str
         Where the target beside the agent announces itself, ``tcp://IP:PORT``.
+    data_centre, rack : str
+        Where the agent and its target run.
     entries : tuple of str
         Addresses of some entries, to begin with; the roster tells the rest.
+    trace_share : float
+        Unused by agents, which trace what an entry has begun to trace.
+    check_invariants : bool
+        Whether broken invariants raise.
     """
 
     address: str
