--- a/ragwortlug/compose.py
+++ b/ragwortlug/compose.py
@@ -41,7 +41,7 @@
     settings : EntrySettings
         As read from its file.
     """
-    kernel, own = _compose_base(settings, "entry")
+    kernel, own = _compose_base(settings, "entry", settings.trace_share)
     timer, metrics, peers, traces = _base_services(kernel)
     member = Member(own.incarnation, "entry", settings.address, settings.data_centre)
     vouching = Vouching(own.incarnation)
@@ -138,7 +138,7 @@
     return kernel
 
 
-def _compose_base(settings, role):
+def _compose_base(settings, role, trace_share=0.0):
     """Return a kernel with the services that every program has."""
     invariants.enable(settings.check_invariants)
     incarnation = f"{role}-{secrets.token_hex(INCARNATION_BYTES)}"
@@ -148,7 +148,7 @@
     metrics = kernel.register("metrics", Metrics())
     kernel.register("peers", Peers(own, timer, metrics))
     process = f"{role} {settings.address}"
-    kernel.register("traces", Traces(process, settings.trace_share))
+    kernel.register("traces", Traces(process, trace_share))
     return kernel, own
 
 
--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -144,8 +144,6 @@
         Where the agent and its target run.
     entries : tuple of str
         Addresses of some entries, to begin with; the roster tells the rest.
-    trace_share : float
-        Unused by agents, which trace what an entry has begun to trace.
     check_invariants : bool
         Whether broken invariants raise.
     """
@@ -155,7 +153,6 @@
     data_centre: Name
     entries: tuple[str, ...]
     rack: str = ""
-    trace_share: Share = 0.01
     check_invariants: bool = True
     view: ViewSettings = field(default_factory=ViewSettings)
     policy: PolicySettings = field(default_factory=PolicySettings)
--- a/standins/site.py
+++ b/standins/site.py
@@ -61,7 +61,6 @@
             data_centre=self.data_centre(index),
             rack=f"rack-{index // 3}",
             entries=tuple(self.entry_settings(each).address for each in entries),
-            trace_share=self.trace_share,
             log=LogSettings(level=self.log_level),
             view=self.view,
         )
