Make the announcer a part of its own

Announcing a change to a majority of the entries needs only the view, the vouching and the messages; it moves out unchanged.

--- a/ragwortlug/compose.py
+++ b/ragwortlug/compose.py
@@ -6,6 +6,7 @@
 from ragwortlug import invariants
 from ragwortlug.agent import AgentShutdown, HomeActor, RunnerActor
 from ragwortlug.entry import EntryShutdown
+from ragwortlug.io.announcer import Announcer
 from ragwortlug.io.callers import CallerRoutes
 from ragwortlug.io.http import HttpServer
 from ragwortlug.io.keeper import ViewKeeper
@@ -53,12 +54,14 @@
         "keeper",
         ViewKeeper(view, member, (), peers, timer, metrics, settings.view, vouching),
     )
+    announcer = kernel.register("announcer", Announcer(view, vouching, peers))
     registrar = kernel.register(
         "registrar",
         Registrar(
             keeper,
             Census(own.incarnation, settings.view.lost_after_s),
             vouching,
+            announcer,
             store,
             peers,
             timer,
--- a/ragwortlug/io/registrar.py
+++ b/ragwortlug/io/registrar.py
@@ -19,25 +19,20 @@
 from ragwortlug.io.keeper import everyone
 from ragwortlug.io.store import Write
 from ragwortlug.messages import (
-    Announce,
-    Announced,
     Confirmation,
     News,
     Poll,
-    peer_of,
 )
 from ragwortlug.telemetry.logs import logger
 from ragwortlug.view.note import Configuration, ReleaseNote, apply_note
 from ragwortlug.view.roster import Roster, changed, describe_change
 from ragwortlug.view.view import Change
-from ragwortlug.view.vouching import majority
 
 CONFIGURATION_KEY = "/live/configuration"
 ROSTER_KEY = "/live/roster"
 LIVE_KEYS = "/live/"
 NOTE_KEYS = "/notes/"
 COMMIT_MARGIN_MS = 1000
-ANNOUNCE_TIMEOUT_S = 1.0
 SETTLE_TRIES = 6
 SETTLE_PAUSE_S = 0.5
 POLLS_BEFORE_FIRST_ROSTER = 3
@@ -73,6 +68,8 @@
         Is told of every poll.
     vouching : Vouching
         Knows when other entries vouched.
+    announcer : Announcer
+        Tells other entries of changes before they are written.
     store, peers, timer, metrics
         The services of those names.
     settings : ViewSettings
@@ -80,12 +77,22 @@
     """
 
     def __init__(
-        self, keeper, census, vouching, store, peers, timer, metrics, settings
+        self,
+        keeper,
+        census,
+        vouching,
+        announcer,
+        store,
+        peers,
+        timer,
+        metrics,
+        settings,
     ):
         self._keeper = keeper
         self._view = keeper.view
         self._census = census
         self._vouching = vouching
+        self._announcer = announcer
         self._store = store
         self._peers = peers
         self._timer = timer
@@ -94,8 +101,6 @@
         self._revisions = {CONFIGURATION_KEY: 0, ROSTER_KEY: 0}
         self._known_versions = {}
         self._learned_at = {}
-        self._announcing = {}
-        self._next_announce = 0
         self._store_read_at = None
         self._vouched = False
         self._unvouched_since = None
@@ -113,8 +118,6 @@
     async def start(self):
         """Begin to read the store and to answer polls."""
         self._peers.handle(Poll, self._polled)
-        self._peers.handle(Announce, self._take_announcement)
-        self._peers.handle(Announced, self._announced)
         self._keeper.changes.subscribe(self._note_learned)
         self._tasks = [
             asyncio.create_task(self._keep(self._refresh)),
@@ -193,7 +196,7 @@
             return self._result(Code.NOTE_CONFLICT, (reason,))
         after = apply_note(current, note)
         change = Change(configuration=after)
-        await self._announce(change)
+        await self._announcer.announce(change)
         record = AcceptedNote(after.version, note)
         revision = self._revisions[CONFIGURATION_KEY]
         written = await self._store.write(
@@ -291,7 +294,9 @@
             return
         if not self._view.roster.vouching:
             return
-        vouched_at = self._vouching.vouched_at(self._rosters(), self._timer.monotonic())
+        vouched_at = self._vouching.vouched_at(
+            self._announcer.rosters(), self._timer.monotonic()
+        )
         if vouched_at is not None:
             self._vouched = True
             self._view.restrict(self._vouching.pending(self._view.versions))
@@ -330,7 +335,7 @@
     async def _write_roster(self, roster):
         """Announce and commit a roster; without a majority, end vouching first."""
         try:
-            await self._announce(Change(roster=roster))
+            await self._announcer.announce(Change(roster=roster))
             roster = replace(roster, vouching=True)
         except RagwortlugError:
             roster = self._without_majority(roster)
@@ -415,67 +420,3 @@
         self._learned_at.setdefault(version, self._timer.monotonic())
         while len(self._learned_at) > 1000:
             del self._learned_at[next(iter(self._learned_at))]
-
-    async def _announce(self, change):
-        """Announce a change to a majority of each roster's entries, or raise."""
-        own = self._peers.own.incarnation
-        voters = {
-            each.incarnation: peer_of(each)
-            for roster in self._rosters()
-            for each in roster.present("entry")
-        }
-        if not self._vouching.announce(change):
-            raise RagwortlugError("too many changes are unsettled", Code.NO_MAJORITY)
-        self._next_announce += 1
-        number = self._next_announce
-        waiting = _Votes({own}, asyncio.Event())
-        self._announcing[number] = waiting
-        for incarnation, peer in voters.items():
-            if incarnation != own:
-                self._peers.send(peer, Announce(number, change))
-        try:
-            async with asyncio.timeout(ANNOUNCE_TIMEOUT_S):
-                while not self._has_majority(waiting.taken):
-                    waiting.more.clear()
-                    await waiting.more.wait()
-        except TimeoutError:
-            raise RagwortlugError(
-                f"{len(waiting.taken)} of {len(voters)} entries took the announcement",
-                Code.NO_MAJORITY,
-            ) from None
-        finally:
-            del self._announcing[number]
-
-    def _rosters(self):
-        """Return the accepted roster and those that are announced."""
-        pending = self._vouching.pending(self._view.versions)
-        announced = [each.roster for each in pending if each.roster is not None]
-        return [self._view.roster, *announced]
-
-    def _has_majority(self, taken):
-        """Return whether a majority of each roster's entries is among `taken`."""
-        for roster in self._rosters():
-            voters = {each.incarnation for each in roster.present("entry")}
-            if voters and len(voters & taken) < majority(len(voters)):
-                return False
-        return True
-
-    def _take_announcement(self, sender, message):
-        """Let an announced change restrict this entry, and say so."""
-        if self._vouching.announce(message.change):
-            self._peers.send(sender, Announced(message.number))
-
-    def _announced(self, sender, message):
-        """Count an entry that took an announcement."""
-        waiting = self._announcing.get(message.number)
-        if waiting is not None:
-            waiting.taken.add(sender.incarnation)
-            waiting.more.set()
-
-
-@dataclass(frozen=True, slots=True)
-class _Votes:
-    """The entries that took an announcement, and the signal for one more."""
-
-    taken: set
-    more: asyncio.Event
