Let rules throttle tasks, and save a checkpoint at the end of a lease

The targets' interface lacked two of the three requests that workers can take. A rule's action 'throttle' asks targets to run what it covers slower, running tasks and those to come; a task that reaches the end of its lease is asked for a checkpoint before it is stopped, and its caller gets the checkpoint's name.

--- a/ragwortlug/agent.py
+++ b/ragwortlug/agent.py
@@ -177,7 +177,7 @@
             self._serve(kind, decide)
         self.handle(Tick, lambda *_: self._event(runner.tick))
         self.handle(Leave, lambda *_: self._event(runner.leave))
-        self.handle(ViewChanged, lambda *_: self._perform(self._rule_stops()))
+        self.handle(ViewChanged, lambda *_: self._apply_rules())
         self.handle(TaskEnded, lambda _, each: self._ended(each))
         self.handle(Announcement, lambda _, each: self._announced(each))
         keeper.offer(lambda: runner.capacity(timer.monotonic()))
@@ -235,7 +235,7 @@
             elif isinstance(effect, StartTask):
                 self._call(self._run_task(effect))
             else:
-                self._call(self._client.halt(task_id(effect), effect.url))
+                self._call(self._client.halt(task_id(effect.key), effect.url))
 
     def _call(self, coroutine):
         """Make a call to the target in a task of its own."""
@@ -248,7 +248,8 @@
         began = self._timer.monotonic()
         grant = start.grant
         with self._traces.span("target", grant.job_id, grant.trace):
-            outcome = await self._client.run(start)
+            throttled = self._rules_say(grant, "throttle")
+            outcome = await self._client.run(start, throttled)
         elapsed = self._timer.monotonic() - began
         self._metrics.time("task", elapsed)
         self.post(None, TaskEnded(start, outcome, elapsed * 1000))
@@ -268,15 +269,18 @@
             )
         self._perform(effects)
 
-    def _rule_stops(self):
-        """Return the effects that stop what a rule says must stop."""
-        configuration = self._keeper.view.configuration
-
-        def stopped(grant):
-            rule = configuration.rule_for(grant.team, grant.service, grant.tasks)
-            return rule is not None and rule.action == "stop"
+    def _apply_rules(self):
+        """Stop or throttle the running tasks that rules say so of."""
+        for key, grant, url in self._runner.started():
+            if self._rules_say(grant, "stop"):
+                self._call(self._client.halt(task_id(key), url))
+            elif self._rules_say(grant, "throttle"):
+                self._call(self._client.throttle(task_id(key), url))
 
-        return self._runner.stopping(stopped)
+    def _rules_say(self, grant, action):
+        """Return whether a rule demands an action for a granted task."""
+        configuration = self._keeper.view.configuration
+        return configuration.rules_say(grant.team, grant.service, grant.tasks, action)
 
 
 class AgentShutdown:
--- a/ragwortlug/io/targets.py
+++ b/ragwortlug/io/targets.py
@@ -20,7 +20,7 @@
 MS_PER_S = 1000.0
 KEEPALIVE_S = 15.0
 CONNECT_TIMEOUT_S = 1.0
-STOP_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 1.0
 
 _announcements = msgspec.json.Decoder(Announcement)
 _decoder = msgspec.json.Decoder()
@@ -94,7 +94,7 @@
         """Close the connection pool."""
         await self._session.close()
 
-    async def run(self, start):
+    async def run(self, start, throttled=False):
         """Run a granted task; return a `TaskOutcome`, or `NotStarted`."""
         grant = start.grant
         now = self._timer.monotonic()
@@ -104,7 +104,7 @@
             return NotStarted(code)
         left_s = self._confirm_s - self._view.age_s(now)
         body = {
-            "id": task_id(start),
+            "id": task_id(start.key),
             "job": grant.job_id,
             "index": grant.index,
             "team": grant.team,
@@ -112,6 +112,7 @@
             "payload": grant.payload,
             "start_before_ms": self._timer.unix_ms() + int(left_s * MS_PER_S),
             "lease_ms": grant.lease_ms,
+            "throttled": throttled,
         }
         try:
             async with asyncio.timeout(grant.lease_ms / MS_PER_S):
@@ -124,19 +125,31 @@
             detail = type(error).__name__
             return TaskOutcome(int(Code.REPLY_LOST), None, detail)
         finally:
-            self._stopped.discard(task_id(start))
+            self._stopped.discard(task_id(start.key))
 
-    async def halt(self, stop, url):
+    async def halt(self, task, url):
         """Ask the target to stop a task; return whether it says that it did."""
-        self._stopped.add(stop)
-        timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_S)
+        self._stopped.add(task)
+        return await self._ask("DELETE", f"{url}/tasks/{task}") is not None
+
+    async def throttle(self, task, url):
+        """Ask the target to run a task slower; return whether it says that it does."""
+        return await self._ask("POST", f"{url}/tasks/{task}/throttle") is not None
+
+    async def checkpoint(self, task, url):
+        """Ask the target to save a task's state; return its name for it, or None."""
+        reply = await self._ask("POST", f"{url}/tasks/{task}/checkpoint")
+        return None if reply is None else reply.get("checkpoint")
+
+    async def _ask(self, method, url):
+        """Return the target's reply to a request about a task, or None."""
+        timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
         try:
-            async with self._session.delete(
-                f"{url}/tasks/{stop}", timeout=timeout
-            ) as response:
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError):
-            return False
+            async with self._session.request(method, url, timeout=timeout) as response:
+                raw = await response.read()
+            return _decoder.decode(raw) if response.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return None
 
     async def _post(self, url, body):
         """Hand a task over and wait for its end."""
@@ -152,14 +165,14 @@
         return TaskOutcome(int(code), None, str(reply.get("error", "")))
 
     async def _end_lease(self, start):
-        """Stop a task whose lease has ended."""
-        name = task_id(start)
+        """Save the state of a task whose lease has ended, and stop it."""
+        name = task_id(start.key)
+        saved = await self.checkpoint(name, start.url)
         stopped = await self.halt(name, start.url)
         code = Code.LEASE_ENDED if stopped else Code.OUTCOME_UNKNOWN
-        return TaskOutcome(int(code))
+        return TaskOutcome(int(code), None, f"checkpoint {saved}" if saved else "")
 
 
-def task_id(effect):
+def task_id(key):
     """Return the name under which the target knows a granted task."""
-    key = effect.key
     return f"{key.home.incarnation}-{key.number}"
--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -480,8 +480,7 @@
             return Code.SERVICE_WITHDRAWN
         if configuration.team(job.team) is None:
             return Code.UNKNOWN_TEAM
-        rule = configuration.rule_for(job.team, job.service, len(job.tasks))
-        if rule is not None and rule.action == "stop":
+        if configuration.rules_say(job.team, job.service, len(job.tasks), "stop"):
             return Code.REFUSED_BY_RULE
         return None
 
--- a/ragwortlug/jobs/runner.py
+++ b/ragwortlug/jobs/runner.py
@@ -240,12 +240,10 @@
             del self._seen[key]
         return self._fill(now)
 
-    def stopping(self, covers):
-        """Return the effects that stop the running tasks that `covers` names."""
+    def started(self):
+        """Return the key, the grant and the target's URL of each running task."""
         return [
-            StopTask(key, self._seen[key].url)
-            for key, grant in self._running.items()
-            if covers(grant)
+            (key, grant, self._seen[key].url) for key, grant in self._running.items()
         ]
 
     def _target(self, now):
--- a/ragwortlug/policy/admission.py
+++ b/ragwortlug/policy/admission.py
@@ -23,7 +23,8 @@
         return Code.UNKNOWN_SERVICE
     if configuration.team(job.team) is None:
         return Code.UNKNOWN_TEAM
-    if configuration.rule_for(job.team, job.service, len(job.tasks)) is not None:
+    size = len(job.tasks)
+    if configuration.rules_say(job.team, job.service, size, "refuse", "stop"):
         return Code.REFUSED_BY_RULE
     if offering and not all(_fits(task, offering) for task in job.tasks):
         return Code.CAN_NEVER_RUN
--- a/ragwortlug/view/note.py
+++ b/ragwortlug/view/note.py
@@ -42,13 +42,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Rule:
-    """A rule by which jobs are refused or stopped.
+    """A rule by which jobs are refused, stopped or throttled.
 
     Attributes
     ----------
-    action : {"refuse", "stop"}
+    action : {"refuse", "stop", "throttle"}
         ``refuse`` turns away new jobs; ``stop`` also drops queued tasks and
-        stops running ones.
+        stops running ones; ``throttle`` asks targets to run tasks slower.
     team, service : str
         What the rule is about; empty for any.
     above_tasks : int
@@ -56,7 +56,7 @@
     """
 
     name: Name
-    action: Literal["refuse", "stop"]
+    action: Literal["refuse", "stop", "throttle"]
     team: str = ""
     service: str = ""
     above_tasks: Natural = 0
@@ -145,10 +145,12 @@
         centre = _named(self.data_centres, data_centre)
         return centre is None or centre.in_service
 
-    def rule_for(self, team, service, tasks):
-        """Return the first rule that covers such a job, or None."""
-        covering = (rule for rule in self.rules if rule.covers(team, service, tasks))
-        return next(covering, None)
+    def rules_say(self, team, service, tasks, *actions):
+        """Return whether a rule with one of these actions covers such a job."""
+        return any(
+            rule.action in actions and rule.covers(team, service, tasks)
+            for rule in self.rules
+        )
 
 
 KINDS = ("services", "teams", "data_centres", "rules")
--- a/standins/target.py
+++ b/standins/target.py
@@ -41,6 +41,8 @@
         self.starts = Counter()
         self.started_at = []
         self.late_refusals = 0
+        self.throttled = []
+        self.checkpoints = []
         self.intervals = []
         self.slowness = 1.0
         self.fail_all = False
@@ -50,6 +52,8 @@
             [
                 web.post("/tasks", self._run),
                 web.delete("/tasks/{id}", self._stop),
+                web.post("/tasks/{id}/throttle", self._throttle),
+                web.post("/tasks/{id}/checkpoint", self._checkpoint),
                 web.get("/starts", self._show_starts),
                 web.post("/fail", self._set_fail),
             ]
@@ -112,6 +116,8 @@
         self.started_at.append((now_ms, name))
         payload = body.get("payload") or {}
         run_s = payload.get("run_ms", 0) / 1000 * self.slowness
+        if body.get("throttled"):
+            self.throttled.append(body["id"])
         running = asyncio.ensure_future(asyncio.sleep(0 if self.fail_all else run_s))
         self._running[body["id"]] = running
         self.peak = max(self.peak, len(self._running))
@@ -136,6 +142,23 @@
         running.cancel()
         return web.json_response({})
 
+    async def _throttle(self, request):
+        """Note that a task is to run slower; its pace here stays the same."""
+        return self._note(request, self.throttled, {})
+
+    async def _checkpoint(self, request):
+        """Note that a task's state is to be saved, and name it."""
+        name = f"state-of-{request.match_info['id']}"
+        return self._note(request, self.checkpoints, {"checkpoint": name})
+
+    def _note(self, request, asked, reply):
+        """Keep what was asked of a running task."""
+        task = request.match_info["id"]
+        if task not in self._running:
+            return web.json_response({"error": "not running"}, status=404)
+        asked.append(task)
+        return web.json_response(reply)
+
     async def _show_starts(self, _request):
         """Show every start."""
         return web.json_response(
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from ragwortlug.client import Client
 from ragwortlug.codes import Code
@@ -125,6 +126,28 @@
 
         with_site(scenario, PLAN)
 
+    def test_last_entry_accepts_alone_once_nobody_can_vouch_any_more(self):
+        plan = replace(PLAN, entries=3, view=replace(PLAN.view, vouch_s=1.0))
+
+        async def scenario(site, client):
+            for kernel in site.entries[1:]:
+                await kernel.stop()
+            async with Client(plan.entry_urls()[:1], plan.teams[0]) as alone:
+                first = await alone.post("/notes", team_note("alone"))
+                assert first["code"] == Code.NO_MAJORITY
+                until = time.monotonic() + 25.0
+                while first["code"] == Code.NO_MAJORITY:
+                    assert time.monotonic() < until
+                    await asyncio.sleep(0.5)
+                    first = await alone.post("/notes", team_note("alone"))
+                    answer = await alone.submit(PLAN.service, [{"run_ms": 1}])
+                    assert answer.code == Code.OK
+                assert first["code"] == Code.NOTE_COMMITTED
+                roster = (await alone.get("/status"))["roster"]
+                assert not roster["vouching"]
+
+        with_site(scenario, plan)
+
 
 class TestWithdrawals:
     def test_withdrawn_service_drops_queued_tasks_and_lets_running_ones_end(self):
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -106,6 +106,24 @@
             await asyncio.sleep(0.5)
             answer = await client.submit(PLAN.service, [{"run_ms": 5000}])
             assert answer.tasks[0].code == Code.LEASE_ENDED
+            saved = [each for target in site.targets for each in target.checkpoints]
+            assert answer.tasks[0].detail == f"checkpoint state-of-{saved[0]}"
+
+        with_site(scenario, PLAN)
+
+
+class TestThrottling:
+    def test_rule_throttles_what_runs_and_what_starts(self):
+        async def scenario(site, client):
+            running = asyncio.create_task(run_jobs(client, 1, run_ms=1500))
+            await asyncio.sleep(0.4)
+            rule = {"name": "slow", "action": "throttle", "team": "gyanbhandar"}
+            note = {"id": "slow", "base": 1, "added": {"rules": [rule]}}
+            assert (await client.post("/notes", note))["code"] == Code.NOTE_COMMITTED
+            await asyncio.sleep(0.5)
+            assert await run_jobs(client, 1) == [Code.OK]
+            assert await running == [Code.OK]
+            assert sum(len(target.throttled) for target in site.targets) == 2
 
         with_site(scenario, PLAN)
 
