Give the home's and the runner's tasks a module each

agent.py held two actors, their events and the shutdown. Nothing else changes: the tests of targets and of the home pass.

--- a/ragwortlug/actor.py
+++ b/ragwortlug/actor.py
@@ -1,9 +1,22 @@
 """Actors: tasks that own their state and take messages from an inbox."""
 
 import asyncio
+from dataclasses import dataclass
 
 from ragwortlug.telemetry.logs import logger
 
+TICK_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Some time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """The view has changed."""
+
 
 class Actor:
     """A task with an inbox.
--- a/ragwortlug/compose.py
+++ b/ragwortlug/compose.py
@@ -4,8 +4,9 @@
 import secrets
 
 from ragwortlug import invariants
-from ragwortlug.agent import AgentShutdown, HomeActor, RunnerActor
+from ragwortlug.agent import AgentShutdown
 from ragwortlug.entry import EntryShutdown
+from ragwortlug.home_actor import HomeActor
 from ragwortlug.io.announcer import Announcer
 from ragwortlug.io.callers import CallerRoutes
 from ragwortlug.io.http import HttpServer
@@ -21,6 +22,7 @@
 from ragwortlug.messages import Peer
 from ragwortlug.policy.placement import Placement
 from ragwortlug.relay import Relay
+from ragwortlug.runner_actor import RunnerActor
 from ragwortlug.settings import parse_address
 from ragwortlug.telemetry.metrics import Metrics
 from ragwortlug.telemetry.traces import Traces
--- /dev/null
+++ b/ragwortlug/runner_actor.py
@@ -0,0 +1,164 @@
+"""The task that owns an agent's runner, and makes the calls to its target."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ragwortlug.actor import TICK_S, Actor, Tick, ViewChanged
+from ragwortlug.io.operators import answer_spans
+from ragwortlug.io.targets import NotStarted, task_id
+from ragwortlug.jobs.runner import StartTask
+from ragwortlug.messages import Grant, Nothing, Probe, Send, Spans, Stop, Waiting
+from ragwortlug.model import Announcement, TaskOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The agent is to stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """A call to the target has ended."""
+
+    start: StartTask
+    outcome: TaskOutcome | NotStarted
+    run_ms: float
+
+
+class RunnerActor(Actor):
+    """The task that owns the runner, and the calls to the target.
+
+    Parameters
+    ----------
+    runner : Runner
+        The decisions.
+    client : TargetClient
+        Carries out the starts.
+    keeper, peers, timer, metrics, traces
+        The services of those names.
+    """
+
+    def __init__(self, runner, client, keeper, peers, timer, metrics, traces):
+        super().__init__("runner", metrics)
+        self._runner = runner
+        self._client = client
+        self._keeper = keeper
+        self._peers = peers
+        self._timer = timer
+        self._traces = traces
+        self._calls = set()
+        decisions = {
+            Grant: runner.grant,
+            Waiting: runner.waiting,
+            Nothing: runner.nothing,
+            Probe: runner.probe,
+            Stop: runner.stop,
+        }
+        for kind, decide in decisions.items():
+            self._serve(kind, decide)
+        self.handle(Tick, lambda *_: self._event(runner.tick))
+        self.handle(Leave, lambda *_: self._event(runner.leave))
+        self.handle(ViewChanged, lambda *_: self._apply_rules())
+        self.handle(TaskEnded, lambda _, each: self._ended(each))
+        self.handle(Announcement, lambda _, each: self._announced(each))
+        keeper.offer(lambda: runner.capacity(timer.monotonic()))
+        metrics.gauge("running_tasks", lambda: runner.running)
+        metrics.gauge("free_slots", lambda: runner.free(timer.monotonic()))
+        metrics.gauge("target_resting", lambda: int(runner.resting))
+
+    @property
+    def idle(self):
+        """Return whether nothing runs and no message waits."""
+        return not self._runner.running and not self.backlog
+
+    async def start(self):
+        """Begin to serve."""
+        await super().start()
+        self._keeper.changes.subscribe(lambda _: self.post(None, ViewChanged()))
+        self._timer.every(TICK_S, lambda: self.post(None, Tick()))
+        self._peers.handle(
+            Spans,
+            lambda sender, each: answer_spans(self._peers, self._traces, sender, each),
+        )
+
+    async def stop(self):
+        """End the calls to the target."""
+        for call in self._calls:
+            call.cancel()
+        await super().stop()
+
+    def _serve(self, kind, decide):
+        """Answer messages of a kind by a decision of the runner."""
+
+        def handler(sender, message):
+            self._perform(decide(sender, message, self._timer.monotonic()))
+
+        self.handle(kind, handler)
+        self._peers.handle(kind, self.post)
+
+    def _event(self, decide):
+        """Tell the runner of an event."""
+        self._perform(decide(self._timer.monotonic()))
+
+    def _announced(self, announcement):
+        """Take the target's announcement; news of it is not kept waiting."""
+        now = self._timer.monotonic()
+        before = self._runner.capacity(now)
+        self._perform(self._runner.announce(announcement, now))
+        if self._runner.capacity(now) != before:
+            self._keeper.poll()
+
+    def _perform(self, effects):
+        """Carry out effects."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._peers.send(effect.to, effect.body)
+            elif isinstance(effect, StartTask):
+                self._call(self._run_task(effect))
+            else:
+                self._call(self._client.halt(task_id(effect.key), effect.url))
+
+    def _call(self, coroutine):
+        """Make a call to the target in a task of its own."""
+        call = asyncio.create_task(coroutine)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _run_task(self, start):
+        """Run a task on the target and post how it ended."""
+        began = self._timer.monotonic()
+        grant = start.grant
+        with self._traces.span("target", grant.job_id, grant.trace):
+            throttled = self._rules_say(grant, "throttle")
+            outcome = await self._client.run(start, throttled)
+        elapsed = self._timer.monotonic() - began
+        self._metrics.time("task", elapsed)
+        self.post(None, TaskEnded(start, outcome, elapsed * 1000))
+
+    def _ended(self, event):
+        """Record how a call to the target ended."""
+        now = self._timer.monotonic()
+        key = event.start.key
+        outcome = event.outcome
+        if isinstance(outcome, NotStarted):
+            self._metrics.count("starts_refused", outcome.code.name)
+            effects = self._runner.unstarted(key, outcome.code, now)
+        else:
+            self._metrics.count("tasks_ended", str(outcome.code))
+            effects = self._runner.ended(
+                key, outcome.code, outcome.result, outcome.detail, event.run_ms, now
+            )
+        self._perform(effects)
+
+    def _apply_rules(self):
+        """Stop or throttle the running tasks that rules say so of."""
+        for key, grant, url in self._runner.started():
+            if self._rules_say(grant, "stop"):
+                self._call(self._client.halt(task_id(key), url))
+            elif self._rules_say(grant, "throttle"):
+                self._call(self._client.throttle(task_id(key), url))
+
+    def _rules_say(self, grant, action):
+        """Return whether a rule demands an action for a granted task."""
+        configuration = self._keeper.view.configuration
+        return configuration.rules_say(grant.team, grant.service, grant.tasks, action)
