Say unknown, not 'not run', of births in the future

Ruled out: births up to the skew, for which the new home's guard refuses the overlap.

Change: the code is 309 with the verdict 'outcome unknown', and nothing is recorded.

--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -56,7 +56,6 @@
     # Refusals decided and recorded by the job's home.
     UNKNOWN_SERVICE = 120, Verdict.NOT_RUN, 404, "No such service is configured."
     UNKNOWN_TEAM = 121, Verdict.NOT_RUN, 403, "No such team is configured."
-    BIRTH_IN_FUTURE = 122, Verdict.NOT_RUN, 400, "The id's birth is in the future."
     ID_REUSED = 123, Verdict.NOT_RUN, 409, "The id belongs to a different body."
     FOREIGN_ID = 124, Verdict.NOT_RUN, 403, "The id belongs to another team."
     QUEUE_FULL = 125, Verdict.NOT_RUN, 503, "The home's queue is full."
@@ -113,6 +112,12 @@
     HOME_UNCONFIRMED = 305, Verdict.UNKNOWN, 503, "The home can't confirm its view."
     NO_HOME = 306, Verdict.UNKNOWN, 503, "No agent is home to this id."
     NO_RECORD = 307, Verdict.UNKNOWN, 404, "No record of this id is held."
+    BIRTH_IN_FUTURE = (
+        309,
+        Verdict.UNKNOWN,
+        400,
+        "The id's birth is in the future; its home may still change.",
+    )
     REPLY_LOST = 308, Verdict.UNKNOWN, 504, "The target's reply was lost."
 
     # Operators' results.
--- a/ragwortlug/jobs/home.py
+++ b/ragwortlug/jobs/home.py
@@ -112,6 +112,8 @@
             return self._attach(sender, message.request, job.id, message.wait)
         if birth_of(job.id) < now_ms - self._window_ms:
             return [_refuse(sender, message.request, job.id, Code.ID_TOO_OLD)]
+        if birth_of(job.id) > now_ms + self._skew_ms:
+            return [_refuse(sender, message.request, job.id, Code.BIRTH_IN_FUTURE)]
         member = self._view.homes.home(job.id)
         if member is None:
             return [_refuse(sender, message.request, job.id, Code.NO_HOME)]
@@ -287,7 +289,7 @@
     def _admit(self, sender, message, now, now_ms):
         """Record a new job, or record its refusal."""
         job = message.job
-        code = self._refusal(job, now_ms)
+        code = self._refusal(job)
         if code is not None:
             if not self._view.confirmed(now):
                 code = Code.HOME_UNCONFIRMED
@@ -301,10 +303,8 @@
         self._update_queue(record)
         return effects + self.dispatch(now)
 
-    def _refusal(self, job, now_ms):
+    def _refusal(self, job):
         """Return the code with which a new job is refused, or None."""
-        if job.birth_ms > now_ms + self._skew_ms:
-            return Code.BIRTH_IN_FUTURE
         candidates = self._directory.candidates(job.service)
         queued = self.queued_tasks
         slots = candidates.slots / max(candidates.homes, 1)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -368,3 +368,25 @@
         with pytest.raises((AssertionError, InvariantError)):
             script(broken)
             broken.check()
+
+
+class TestFoundBySoak:
+    def test_future_birth_is_not_refused_by_a_home_that_may_lose_it(self):
+        """Seed 5016: told 122 (not run) by a home whose right then moved."""
+        world = World()
+        lost = world.agents[0]
+        while True:
+            job = world.new_job(1, 4500, 0)
+            if world.holder(job, world.roster).incarnation == lost.incarnation:
+                break
+        world.submit(job, world.roster)
+        world.flow()
+        world.begin_commit(RosterChange(lost=(lost.name,)))
+        world.end_commit()
+        world.refresh_all()
+        world.advance(5.0)
+        world.refresh_all()
+        world.submit(job, world.roster)
+        world.flow()
+        assert world.starts
+        world.check()
