Find a daemon's settings and URL by its name in one place

The site, the fleet and two benchmarks each took a daemon's name apart, chose its settings and made a URL of its address; the plan does that now.

--- a/bench/force.py
+++ b/bench/force.py
@@ -90,10 +90,7 @@
 
 async def _version(session, name):
     """Return the configuration version that a process knows."""
-    role, _, number = name.partition("-")
-    build = PLAN.entry_settings if role == "entry" else PLAN.agent_settings
-    url = build(int(number) - 1).http.replace("tcp://", "http://")
-    async with session.get(f"{url}/metrics") as response:
+    async with session.get(f"{PLAN.url_of(name)}/metrics") as response:
         text = await response.text()
     line = next(each for each in text.splitlines() if each.startswith(GAUGE))
     return int(float(line.removeprefix(GAUGE)))
--- a/bench/scrape.py
+++ b/bench/scrape.py
@@ -45,11 +45,8 @@
 
 async def _scrape(session, plan, name):
     """Return one daemon's counters."""
-    role, _, number = name.partition("-")
-    build = plan.entry_settings if role == "entry" else plan.agent_settings
-    url = build(int(number) - 1).http.replace("tcp://", "http://")
     found = Counter()
-    async with session.get(f"{url}/metrics") as response:
+    async with session.get(f"{plan.url_of(name)}/metrics") as response:
         text = await response.text()
     for line in text.splitlines():
         if line.startswith("#") or "_created" in line or "_total{" not in line:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -72,7 +72,7 @@
         """Start the target beside an agent, counted from 0."""
         plan = self.plan
         port = plan.target_port(index)
-        agent = plan.agent_settings(index).http.replace("tcp://", "http://")
+        agent = plan.url_of(f"agent-{index + 1}")
         if plan.target_processes:
             capacity = msgspec.json.encode(plan.capacity()).decode()
             given = ("--port", str(port), "--agent", agent, "--capacity", capacity)
@@ -149,9 +149,6 @@
 def write_settings(plan, folder):
     """Write a settings file for each daemon of a plan."""
     for name in daemon_names(plan):
-        role, _, number = name.partition("-")
-        index = int(number) - 1
-        build = plan.entry_settings if role == "entry" else plan.agent_settings
-        encoded = msgspec.json.encode(build(index))
+        encoded = msgspec.json.encode(plan.settings_of(name))
         text = msgspec.json.format(encoded, indent=2).decode()
         (Path(folder) / f"{name}.json").write_text(text + "\n")
--- a/standins/site.py
+++ b/standins/site.py
@@ -65,6 +65,16 @@
             view=self.view,
         )
 
+    def settings_of(self, name):
+        """Return the settings of a daemon by its name, such as ``agent-3``."""
+        role, _, number = name.partition("-")
+        build = self.entry_settings if role == "entry" else self.agent_settings
+        return build(int(number) - 1)
+
+    def url_of(self, name):
+        """Return the URL that a daemon serves."""
+        return self.settings_of(name).http.replace("tcp://", "http://")
+
     def target_port(self, index):
         """Return the port of the target beside an agent."""
         return self.port + AGENT_PORTS + 3 * index + 2
@@ -81,10 +91,7 @@
 
     def entry_urls(self):
         """Return the URLs of all entries."""
-        return [
-            self.entry_settings(each).http.replace("tcp://", "http://")
-            for each in range(self.entries)
-        ]
+        return [self.url_of(f"entry-{each + 1}") for each in range(self.entries)]
 
     def first_note(self):
         """Return the note that sets the site up."""
@@ -143,7 +150,7 @@
         """Start the target beside an agent."""
         plan = self.plan
         port = plan.target_port(index)
-        agent = plan.agent_settings(index).http.replace("tcp://", "http://")
+        agent = plan.url_of(f"agent-{index + 1}")
         target = TargetStandin(f"http://{HOST}:{port}", agent, plan.capacity())
         await target.start(HOST, port)
         self.targets.append(target)
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -24,6 +24,15 @@
     return {"id": name, "base": base, "added": {"teams": [{"name": name}]}}
 
 
+async def post_at_once(one_note, other_note):
+    """Post a note to each of the two entries at the same moment."""
+    urls = PLAN.entry_urls()
+    async with Client(urls[:1], "") as one, Client(urls[1:], "") as other:
+        return await asyncio.gather(
+            one.post("/notes", one_note), other.post("/notes", other_note)
+        )
+
+
 async def teams(client):
     return [each["name"] for each in (await client.get("/configuration"))["teams"]]
 
@@ -58,15 +67,7 @@
 class TestRaces:
     def test_two_operators_on_one_base_one_wins(self):
         async def scenario(site, client):
-            urls = PLAN.entry_urls()
-            async with (
-                Client(urls[:1], "") as one,
-                Client(urls[1:], "") as other,
-            ):
-                replies = await asyncio.gather(
-                    one.post("/notes", team_note("one")),
-                    other.post("/notes", team_note("other")),
-                )
+            replies = await post_at_once(team_note("one"), team_note("other"))
             codes = sorted(each["code"] for each in replies)
             assert codes == [Code.NOTE_COMMITTED, Code.NOTE_CONFLICT]
             await asyncio.sleep(1.0)
@@ -77,15 +78,7 @@
 
     def test_one_note_to_two_entries_at_once_is_applied_once(self):
         async def scenario(site, client):
-            urls = PLAN.entry_urls()
-            async with (
-                Client(urls[:1], "") as one,
-                Client(urls[1:], "") as other,
-            ):
-                replies = await asyncio.gather(
-                    one.post("/notes", team_note("same")),
-                    other.post("/notes", team_note("same")),
-                )
+            replies = await post_at_once(team_note("same"), team_note("same"))
             assert [each["code"] for each in replies] == [Code.NOTE_COMMITTED] * 2
             assert {each["version"] for each in replies} == {2}
 
