Soak the real programs as processes; answer agents on their own connection

And on the grown sites 62 agents and 11 entries kept two connections a pair, each with a ZeroMQ heartbeat four times a second: more messages than the system's own.

Promises are checked by what callers and workers see. A program can listen at another address than the one that others are told (--listen), which relays need. An entry answers an agent on the connection that the agent opened; an agent opens a new one when a dispatcher has not answered for 0.5 s, which replaces the fast heartbeat.

--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -1,12 +1,14 @@
 """Messages to and from the system's other processes, over ZeroMQ.
 
-One ROUTER socket takes what others send; one DEALER socket for each peer sends.
-Messages are datagrams in spirit: one may be lost with its connection, and those
-who send it find out by asking.
+One ROUTER socket takes what others send; a DEALER socket for each address sends.
+Whoever has written lately is answered on its own connection, so a pair of which one
+asks and the other answers has one connection. Messages are datagrams in spirit: one
+may be lost with its connection, and those who send it find out by asking.
 """
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 
 import zmq
 import zmq.asyncio
@@ -21,12 +23,40 @@
 IDLE_S = 60.0
 BURST = 200
 MAX_MESSAGE_BYTES = 8 << 20
-HEARTBEAT_MS = 250
-SILENCE_MS = 500
+HEARTBEAT_MS = 1000
+SILENCE_MS = 1500
+CONNECT_MS = 500
+LINGER_MS = 200
+# A connection on which nothing came for that long is not used for answers.
+ANSWER_S = 1.0
 
 log = logger("peers")
 
 
+@dataclass(slots=True)
+class Connection:
+    """A connection that this process has opened.
+
+    Attributes
+    ----------
+    socket : zmq.asyncio.Socket
+        Sends, and takes the answers.
+    used_at : float
+        Monotonic seconds of the latest message sent.
+    reader : asyncio.Task
+        Takes the answers.
+    """
+
+    socket: zmq.asyncio.Socket
+    used_at: float
+    reader: asyncio.Task
+
+    def close(self, linger_ms=0):
+        """Close the connection."""
+        self.reader.cancel()
+        self.socket.close(linger_ms)
+
+
 class Peers:
     """The task that owns this process's message sockets.
 
@@ -38,10 +68,13 @@
         Closes idle connections.
     metrics : Metrics
         Counts messages by kind.
+    listen : str
+        Where messages are taken if others reach this process by another address.
     """
 
-    def __init__(self, own, timer, metrics):
+    def __init__(self, own, timer, metrics, listen=""):
         self._own = own
+        self._listen = listen or own.address
         self._timer = timer
         self._metrics = metrics
         self._handlers = {}
@@ -49,8 +82,8 @@
         self._wake = asyncio.Event()
         self._context = zmq.Context()
         self._router = None
-        self._burst = None
-        self._dealers = {}
+        self._connections = {}
+        self._inbound = {}
         self._tasks = []
 
     @property
@@ -72,16 +105,22 @@
         for effect in effects:
             self.send(effect.to, effect.body)
 
+    def reconnect(self, address):
+        """Open a new connection to an address with the next message to it."""
+        connection = self._connections.pop(address, None)
+        if connection is not None:
+            self._metrics.count("reconnections")
+            connection.close()
+
     async def start(self):
         """Bind the socket and begin to serve."""
         self._router = zmq.asyncio.Socket(self._context, zmq.ROUTER)
-        self._burst = zmq.Socket.shadow(self._router.underlying)
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES)
         self._router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        self._router.bind(self._own.address)
+        self._router.bind(self._listen)
         self._tasks = [
-            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._receive(self._router, self._take_inbound)),
             asyncio.create_task(self._transmit()),
         ]
         self._timer.every(IDLE_S / 4, self._close_idle)
@@ -89,52 +128,69 @@
     async def stop(self):
         """Close all sockets."""
         await cancel_all(self._tasks)
-        for socket, _ in self._dealers.values():
-            socket.close(linger=200)
+        for connection in self._connections.values():
+            connection.close(LINGER_MS)
         if self._router is not None:
             self._router.close()
         self._context.term()
 
-    async def _receive(self):
-        """Take messages in bursts and hand them to their handlers."""
+    async def _receive(self, socket, take):
+        """Take a socket's messages in bursts."""
+        burst = zmq.Socket.shadow(socket.underlying)
         while True:
-            frames = await self._router.recv_multipart()
-            self._take(frames)
+            take(await socket.recv_multipart())
             for _ in range(BURST):
                 try:
-                    frames = self._burst.recv_multipart(zmq.NOBLOCK)
+                    frames = burst.recv_multipart(zmq.NOBLOCK)
                 except zmq.Again:
                     break
-                self._take(frames)
+                take(frames)
             await asyncio.sleep(0)
 
-    def _take(self, frames):
-        """Decode one message; bytes that are none are answered and dropped."""
+    def _take_inbound(self, frames):
+        """Take one message that came on another process's connection."""
+        if len(frames) != 2:
+            self._refuse(frames[0], MessageError(f"{len(frames)} frames; wanted 2"))
+            return
+        identity, data = frames
+        try:
+            envelope = decode(data)
+        except MessageError as error:
+            self._refuse(identity, error)
+            return
+        name = envelope.sender.incarnation
+        self._inbound[name] = (identity, self._timer.monotonic())
+        self._take(envelope, len(data))
+
+    def _take_answer(self, frames):
+        """Take one message that came on a connection of this process's own."""
         try:
-            if len(frames) != 2:
-                raise MessageError(f"{len(frames)} frames; wanted 2")
-            envelope = decode(frames[1])
+            envelope = decode(frames[-1])
         except MessageError as error:
-            self._metrics.count("messages_rejected", str(int(error.code)))
-            log.warning("Dropped bytes that are no message: {}.", error)
-            self._reject(frames[0], error)
+            self._count_rejected(error)
             return
+        self._take(envelope, len(frames[-1]))
+
+    def _take(self, envelope, size):
+        """Hand on one message, unless it is for another process."""
         if envelope.to not in ("", self._own.incarnation):
             self._metrics.count("messages_rejected", str(int(Code.WRONG_RECEIVER)))
             return
         kind = type(envelope.body).__name__
         self._metrics.count("messages_received", kind)
-        self._metrics.count("message_bytes_received", kind, len(frames[1]))
+        self._metrics.count("message_bytes_received", kind, size)
         self._deliver(envelope.sender, envelope.body)
 
-    def _reject(self, identity, error):
+    def _refuse(self, identity, error):
         """Tell a sender of foreign bytes the numbered error."""
+        self._count_rejected(error)
         body = Rejected(int(error.code), error.detail)
-        data = encode(Envelope(self._own, "", body))
-        try:
-            self._burst.send_multipart([identity, data], zmq.NOBLOCK)
-        except zmq.ZMQError as unsent:
-            log.debug("Could not answer foreign bytes: {}.", unsent)
+        self._write(self._router, [identity, encode(Envelope(self._own, "", body))])
+
+    def _count_rejected(self, error):
+        """Take note of bytes that are no message."""
+        self._metrics.count("messages_rejected", str(int(error.code)))
+        log.warning("Dropped bytes that are no message: {}.", error)
 
     def _deliver(self, sender, body):
         """Hand a message to its handler."""
@@ -162,38 +218,59 @@
                     self._transmit_one(to, body)
 
     def _transmit_one(self, to, body):
-        """Write one message to its peer's socket."""
+        """Write one message to its peer's connection."""
         kind = type(body).__name__
         data = encode(Envelope(self._own, to.incarnation, body))
-        try:
-            self._dealer(to.address).send(data, zmq.NOBLOCK)
-        except zmq.ZMQError as error:
+        identity = self._answerable(to)
+        if identity is not None:
+            error = self._write(self._router, [identity, data])
+        else:
+            error = self._write(self._connection(to.address).socket, [data])
+        if error is not None:
             self._metrics.count("messages_unsent", kind)
             log.debug("A {} to {} was not sent: {}.", kind, to.address, error)
             return
         self._metrics.count("messages_sent", kind)
         self._metrics.count("message_bytes_sent", kind, len(data))
 
-    def _dealer(self, address):
-        """Return the socket that sends to an address."""
-        known = self._dealers.get(address)
-        if known is None:
-            socket = self._context.socket(zmq.DEALER)
+    def _write(self, socket, frames):
+        """Write frames at once; return the error if they can't be."""
+        return socket.send_multipart(frames, zmq.NOBLOCK).exception()
+
+    def _answerable(self, to):
+        """Return by which identity a peer is answered on its connection, or None."""
+        if to.address in self._connections:
+            return None
+        identity, heard_at = self._inbound.get(to.incarnation, (None, 0.0))
+        fresh = self._timer.monotonic() - heard_at < ANSWER_S
+        return identity if fresh else None
+
+    def _connection(self, address):
+        """Return the connection that sends to an address."""
+        now = self._timer.monotonic()
+        connection = self._connections.get(address)
+        if connection is None:
+            socket = zmq.asyncio.Socket(self._context, zmq.DEALER)
             socket.setsockopt(zmq.LINGER, 0)
             socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
+            socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
             socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
-            socket.setsockopt(zmq.CONNECT_TIMEOUT, SILENCE_MS)
+            socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MS)
             socket.connect(address)
-        else:
-            socket = known[0]
-        self._dealers[address] = (socket, self._timer.monotonic())
-        return socket
+            reader = asyncio.create_task(self._receive(socket, self._take_answer))
+            connection = Connection(socket, now, reader)
+            self._connections[address] = connection
+        connection.used_at = now
+        return connection
 
     def _close_idle(self):
         """Close connections that have not been used for a while."""
         now = self._timer.monotonic()
-        for address, (socket, used) in tuple(self._dealers.items()):
-            if now - used > IDLE_S:
-                socket.close()
-                del self._dealers[address]
+        for address, connection in tuple(self._connections.items()):
+            if now - connection.used_at > IDLE_S:
+                connection.close()
+                del self._connections[address]
+        for name, (_, heard_at) in tuple(self._inbound.items()):
+            if now - heard_at > IDLE_S:
+                del self._inbound[name]
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -19,6 +19,9 @@
 
 TICK_S = 0.05
 WATCHES = 2
+# A dispatcher that has not answered for that long gets a new connection: an open one
+# may have gone silent for good.
+SILENCE_S = 0.5
 PAUSE_AFTER_FAILURE_S = 0.05
 MS_PER_S = 1000.0
 
@@ -98,6 +101,7 @@
         self._settings = settings
         self._dispatchers = dict.fromkeys(seeds, 0.0)
         self._told_at = {}
+        self._connected_at = {}
         self._journal = journal
         self._watching = []
         self._wake = asyncio.Event()
@@ -188,8 +192,13 @@
         return self._runner.tick(now)
 
     def _ask(self, address, now):
-        """Ask one dispatcher for a renewal."""
+        """Ask one dispatcher for a renewal, on a new connection if it is silent."""
         self._told_at[address] = now
+        heard_at = max(self._dispatchers[address], self._connected_at.get(address, now))
+        self._connected_at.setdefault(address, now)
+        if now - heard_at > SILENCE_S:
+            self._connected_at[address] = now
+            self._peers.reconnect(address)
         self._peers.send(Peer(address), self._runner.renewal(address, now))
 
     # Effects.
--- a/ragwortlug/platform/__main__.py
+++ b/ragwortlug/platform/__main__.py
@@ -1,6 +1,7 @@
 """Runs one program on the platform: ``python -m ragwortlug.platform ROLE``."""
 
 import argparse
+import dataclasses
 import sys
 
 import uvloop
@@ -26,10 +27,16 @@
     parser = argparse.ArgumentParser(prog="ragwortlug.platform", description=__doc__)
     parser.add_argument("role", choices=sorted(PROGRAMS))
     parser.add_argument("--settings", help="settings file of the platform")
+    parser.add_argument(
+        "--listen",
+        default="",
+        help="tcp://IP:PORT where messages are taken, if others reach another address",
+    )
     parsed = parser.parse_args(arguments)
     translate, compose = PROGRAMS[parsed.role]
     try:
         settings = translate(read(parsed.settings))
+        settings = dataclasses.replace(settings, listen=parsed.listen)
     except RagwortlugError as error:
         print(f"ragwortlug: {error}", file=sys.stderr)
         return EXIT_SETTINGS
--- a/ragwortlug/platform/compose.py
+++ b/ragwortlug/platform/compose.py
@@ -95,7 +95,7 @@
     timer = kernel.register("timer", Timer())
     metrics = kernel.register("metrics", Metrics())
     own = Peer(settings.address, incarnation)
-    peers = kernel.register("peers", Peers(own, timer, metrics))
+    peers = kernel.register("peers", Peers(own, timer, metrics, settings.listen))
     return kernel, timer, metrics, peers
 
 
--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -230,6 +230,9 @@
         How long the balancer gets to notice a shutdown.
     grace_s : float
         Longest time that a graceful shutdown takes.
+    listen : str
+        Where messages are taken if others reach this process by another address,
+        as behind a relay; empty for `address`.
     """
 
     address: str
@@ -241,6 +244,7 @@
     metrics: str = ""
     drain_s: Annotated[float, msgspec.Meta(ge=0)] = 2.3
     grace_s: Seconds = 5.5
+    listen: str = ""
     check_invariants: bool = True
     restart: RestartSettings = field(default_factory=RestartSettings)
     log: LogSettings = field(default_factory=LogSettings)
@@ -266,6 +270,9 @@
         Where the metrics are served; empty for nowhere.
     grace_s : float
         Longest time that a graceful shutdown takes.
+    listen : str
+        Where messages are taken if others reach this process by another address,
+        as behind a relay; empty for `address`.
     """
 
     address: str
@@ -275,6 +282,7 @@
     store: str
     metrics: str = ""
     grace_s: Seconds = 5.5
+    listen: str = ""
     check_invariants: bool = True
     restart: RestartSettings = field(default_factory=RestartSettings)
     log: LogSettings = field(default_factory=LogSettings)
--- /dev/null
+++ b/tests/faults/programs.py
@@ -0,0 +1,101 @@
+"""The real programs as processes: started, signalled, and started again."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+GRACE_S = 6.0
+RESTART_S = 0.3
+# How long after a signal of the soak an end may still be its doing.
+BLAMED_S = 7.0
+
+
+class Program:
+    """One program, kept running.
+
+    Parameters
+    ----------
+    name : str
+        Names the process, its log and its place.
+    role, settings, listen : str, Path, str
+        Its arguments.
+    log : Path
+        Takes its output.
+    """
+
+    def __init__(self, name, role, settings, listen, log):
+        self.name = name
+        self._arguments = [role, "--settings", str(settings), "--listen", listen]
+        self._log = log
+        self._process = None
+        self._task = None
+        self._signalled_at = float("-inf")
+        self._down_s = RESTART_S
+        self.own_ends = []
+
+    @property
+    def pid(self):
+        """Return the id of the process that runs, or None."""
+        running = self._process is not None and self._process.returncode is None
+        return self._process.pid if running else None
+
+    async def start(self):
+        """Start the process, and start it again whenever it has ended."""
+        await self._launch()
+        self._task = asyncio.create_task(self._keep())
+
+    async def stop(self):
+        """End the process for good."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        if self.pid is not None:
+            self._process.kill()
+            await self._process.wait()
+
+    def signal(self, number, down_s=RESTART_S):
+        """Send a signal; if the process ends, it is down that long."""
+        if self.pid is None:
+            return
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._signalled_at = asyncio.get_running_loop().time()
+            self._down_s = down_s
+        self._process.send_signal(number)
+
+    async def terminate(self, down_s=RESTART_S):
+        """Ask the process to end, and kill it after its time of grace."""
+        process = self._process
+        if self.pid is None:
+            return
+        self.signal(signal.SIGTERM, down_s)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except TimeoutError:
+            if process.returncode is None:
+                process.kill()
+
+    async def _launch(self):
+        """Start the process once."""
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ragwortlug.platform",
+                *self._arguments,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    async def _keep(self):
+        """Start the process again after each end."""
+        loop = asyncio.get_running_loop()
+        while True:
+            code = await self._process.wait()
+            if loop.time() - self._signalled_at > BLAMED_S:
+                self.own_ends.append(code)
+            await asyncio.sleep(self._down_s)
+            await self._launch()
--- /dev/null
+++ b/tests/faults/site.py
@@ -0,0 +1,196 @@
+"""The site of a soak: processes, stand-ins and relays on loopback addresses."""
+
+import asyncio
+import json
+import random
+
+from standins.platform import PlatformStore, PlatformWorker
+from tests.faults.links import Links, Relay, owner_of
+from tests.faults.programs import Program
+from tests.faults.witness import Witness
+
+SERVICE = "carving"
+ZONES = ("patan", "bhaktapur", "kirtipur")
+HOST_NAME = "a.example"
+INNER, FRONT, READY, CONTROL, APP, STORE = 7720, 8161, 8167, 8166, 8080, 8169
+MAX_ATTEMPTS = 3
+SETTINGS = """
+ip = "{told}"
+zone = "{zone}"
+internal_port_range = [{inner}, {inner}]
+seed_nodes = {seeds}
+[listen_addrs]
+front = "{own}:8161"
+ready = "{own}:8167"
+control = "{own}:8166"
+[bounds]
+grace_s = 6
+retransmit_ms = 1300
+max_hold_ms = 1000
+[platform]
+address = "{store}:8169"
+"""
+
+
+class NamedWorker(PlatformWorker):
+    """A stand-in worker with the name of the place that it shares with its agent."""
+
+    name = ""
+
+
+class Site:
+    """Entries, agents with their workers, and the store.
+
+    Parameters
+    ----------
+    seed : int
+        Also picks the loopback network, so that sites can run side by side.
+    folder : Path
+        Takes settings and logs.
+    entries, agents : int
+        How many of each.
+    """
+
+    def __init__(self, seed, folder, entries=3, agents=6):
+        self._net = f"127.{16 + seed % 200}"
+        self._folder = folder
+        self.rng = random.Random(seed)
+        self.links = Links()
+        self.witness = Witness(MAX_ATTEMPTS)
+        self.store = PlatformStore()
+        self.entries = [f"entry-{each}" for each in range(entries)]
+        self.agents = [f"agent-{each}" for each in range(agents)]
+        self._numbers = {
+            name: number
+            for number, name in enumerate(["store", *self.entries, *self.agents], 1)
+        }
+        self.programs = {}
+        self._relays = []
+        self.version = 1
+        self.extra_route = False
+
+    @property
+    def workers(self):
+        """Return the workers by name."""
+        return self.witness.workers
+
+    def own(self, name):
+        """Return the host at which a place listens itself."""
+        return f"{self._net}.1.{self._numbers[name]}"
+
+    def told(self, name):
+        """Return the host that others are told, where a relay listens."""
+        return f"{self._net}.2.{self._numbers[name]}"
+
+    def front(self, entry):
+        """Return the URL at which callers reach an entry."""
+        return f"http://{self.told(entry)}:{FRONT}"
+
+    async def start(self):
+        """Start everything."""
+        await self.store.start(self.own("store"), STORE)
+        await self.configure()
+        await self._relay("store", STORE, self._source)
+        for name in self.entries:
+            await self._relay(name, FRONT, lambda _: ("callers", "127.0.0.1"))
+        for number, name in enumerate([*self.entries, *self.agents]):
+            await self._relay(name, INNER, self._source)
+            await self._launch(name, ZONES[number % len(ZONES)])
+        for number, name in enumerate(self.agents):
+            await self._add_worker(name, ZONES[number % len(ZONES)])
+
+    async def stop(self):
+        """Stop everything that was started."""
+        for program in self.programs.values():
+            await program.stop()
+        for worker in self.workers.values():
+            await worker.stop()
+        for relay in self._relays:
+            await relay.stop()
+        await self.store.stop()
+
+    async def configure(self, changed=False):
+        """Write the configuration, with or without a second route."""
+        if changed:
+            self.version += self.rng.randint(1, 3)
+            self.extra_route = not self.extra_route
+        prefixes = ["/p/", "/extra/"] if self.extra_route else ["/p/"]
+        routes = [
+            {
+                "name": prefix.strip("/"),
+                "host": HOST_NAME,
+                "prefix": prefix,
+                "service": SERVICE,
+                "max_attempts": MAX_ATTEMPTS,
+                "stretch": 1.6,
+                "slo_ms": 60,
+            }
+            for prefix in prefixes
+        ]
+        body = {"version": self.version, "routes": routes, "services": []}
+        await self.store.put("op/config", json.dumps(body).encode())
+
+    def pids(self):
+        """Return the names of the processes that run, by id."""
+        return {each.pid: name for name, each in self.programs.items() if each.pid}
+
+    def _source(self, address):
+        """Return the name and the host of the process that connects."""
+        name = owner_of(address, self.pids())
+        if name is None:
+            raise ConnectionAbortedError(f"{address} is of no process that runs")
+        return name, self.own(name)
+
+    async def _relay(self, name, port, source_of):
+        """Start a relay before a place's port."""
+        relay = Relay(
+            self.links, name, (self.told(name), port), (self.own(name), port), source_of
+        )
+        self._relays.append(relay)
+        await relay.start()
+
+    async def _launch(self, name, zone):
+        """Start a program."""
+        seeds = [f"{self.told(each)}:{CONTROL}" for each in self.entries]
+        settings = self._folder / f"{name}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                own=self.own(name),
+                told=self.told(name),
+                zone=zone,
+                inner=INNER,
+                seeds=json.dumps(seeds),
+                store=self.told("store"),
+            )
+        )
+        listen = f"tcp://{self.own(name)}:{INNER}"
+        log = self._folder / f"{name}.log"
+        role = name.partition("-")[0]
+        self.programs[name] = Program(name, role, settings, listen, log)
+        await self.programs[name].start()
+
+    async def _add_worker(self, name, zone):
+        """Start the worker beside an agent, behind a relay of its own."""
+        url = f"http://{self.own(name)}:{CONTROL}"
+        worker = NamedWorker(SERVICE, zone, url, observe=self.witness.observe)
+        worker.name = name
+        worker.id = f"i-{name}"
+        worker.faults.clock_rate = self.rng.uniform(0.98, 1.0)
+        self.workers[name] = worker
+        place = f"worker of {name}"
+        address = (self.told(name), APP)
+        relay = Relay(self.links, place, address, (self.own(name), APP), self._source)
+        self._relays.append(relay)
+        await relay.start()
+        await worker.start(self.own(name), APP, f"{self.told(name)}:{APP}")
+
+
+async def until(holds, limit_s):
+    """Wait until a condition holds; return whether it does in time."""
+    try:
+        async with asyncio.timeout(limit_s):
+            while not holds():
+                await asyncio.sleep(0.02)
+    except TimeoutError:
+        return False
+    return True
--- /dev/null
+++ b/tests/faults/trouble.py
@@ -0,0 +1,303 @@
+"""The kinds of fault of a soak; each is a coroutine that lasts as long as its fault.
+
+A kind takes the site, the callers, a random generator and the time that it lasts.
+Faults overlap and come again while earlier ones last.
+"""
+
+import asyncio
+import signal
+
+from tests.faults.links import Disturbance
+
+LATE_ORDERS_S = (2.0, 12.0)
+WORKER_DOWN_S = (0.2, 1.5)
+ROUTE_PATH = "/extra/"
+ASK_EVERY_S = 0.25
+
+
+def _anyone(site, rng):
+    """Return the name of some process."""
+    return rng.choice([*site.entries, *site.agents])
+
+
+async def _disturb(site, places, for_s, begin, end):
+    """Let something begin and end, and the witness know of it."""
+    over = site.witness.begin(places)
+    begin()
+    try:
+        await asyncio.sleep(for_s)
+    finally:
+        end()
+        over()
+
+
+async def _disturb_links(site, places, for_s, disturbance):
+    """Let connections fare badly for some time."""
+    await _disturb(
+        site,
+        places,
+        for_s,
+        lambda: site.links.begin(disturbance),
+        lambda: site.links.end(disturbance),
+    )
+
+
+# Signals.
+
+
+async def kill(site, _callers, rng, for_s):
+    """Kill a process; it comes back after some time."""
+    name = _anyone(site, rng)
+    site.programs[name].signal(signal.SIGKILL, for_s)
+    await _disturb(site, (name,), for_s, lambda: None, lambda: None)
+
+
+async def kill_all(site, _callers, _rng, for_s):
+    """Kill all processes at once."""
+    for program in site.programs.values():
+        program.signal(signal.SIGKILL, for_s)
+    await _disturb(site, tuple(site.programs), for_s, lambda: None, lambda: None)
+
+
+async def stop_in_turn(site, callers, rng, _for_s):
+    """Ask processes to stop, one after the other; callers keep their connections."""
+    group = rng.choice([site.entries, site.agents])
+    for name in rng.sample(group, 2):
+        if name in site.entries:
+            callers.terms.append((name, asyncio.get_running_loop().time()))
+        over = site.witness.begin((f"planned stop of {name}",))
+        await site.programs[name].terminate()
+        over()
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
+
+
+async def pause(site, _callers, rng, for_s):
+    """Let a process stand still."""
+    name = _anyone(site, rng)
+    program = site.programs[name]
+    await _disturb(
+        site,
+        (name,),
+        for_s,
+        lambda: program.signal(signal.SIGSTOP),
+        lambda: program.signal(signal.SIGCONT),
+    )
+
+
+async def reload(site, _callers, rng, _for_s):
+    """Tell processes that their settings have changed."""
+    for name in rng.sample([*site.entries, *site.agents], 3):
+        site.programs[name].signal(signal.SIGHUP)
+
+
+# Connections.
+
+
+async def isolate(site, _callers, rng, for_s):
+    """Cut a machine off from all others, its worker and callers apart."""
+    name = _anyone(site, rng)
+    near = {name, f"worker of {name}", "callers"}
+
+    def applies(source, target):
+        return name in (source, target) and not {source, target} <= near
+
+    await _disturb_links(site, (name,), for_s, Disturbance(applies))
+
+
+async def cut_one_way(site, _callers, rng, for_s):
+    """Hold all bytes to, or from, a machine."""
+    name = _anyone(site, rng)
+    side = rng.randrange(2)
+
+    def applies(*ends):
+        return ends[side] == name and ends[1 - side] not in ("callers", name)
+
+    await _disturb_links(site, (name,), for_s, Disturbance(applies))
+
+
+async def bridge_cut(site, _callers, rng, for_s):
+    """Keep an entry and half of the agents from each other."""
+    entry = rng.choice(site.entries)
+    agents = set(rng.sample(site.agents, len(site.agents) // 2))
+
+    def applies(source, target):
+        return entry in (source, target) and bool({source, target} & agents)
+
+    await _disturb_links(site, (entry, *agents), for_s, Disturbance(applies))
+
+
+async def silence_worker(site, _callers, rng, for_s):
+    """Silence a worker's calls, one way or both; it runs on."""
+    name = rng.choice(site.agents)
+    place = f"worker of {name}"
+    sides = rng.choice([(0,), (1,), (0, 1)])
+    held = Disturbance(lambda *ends: any(ends[side] == place for side in sides))
+    await _disturb_links(site, (name,), for_s, held)
+
+
+async def delay(site, _callers, rng, for_s):
+    """Let the bytes of a machine's connections arrive late, callers included."""
+    name = _anyone(site, rng)
+    late = Disturbance(lambda *ends: name in ends, rng.uniform(0.02, 0.3))
+    await _disturb_links(site, (name,), for_s, late)
+
+
+async def reset(site, _callers, rng, for_s):
+    """Reset a machine's connections a few times."""
+    name = _anyone(site, rng)
+    over = site.witness.begin((name,))
+    for _ in range(3):
+        site.links.reset(lambda source, target: name in (source, target))
+        await asyncio.sleep(for_s / 3)
+    over()
+
+
+# The store.
+
+
+async def store_away(site, _callers, rng, for_s):
+    """Let the store be away, silent, slow or without answers to writes."""
+    name, bad, good = rng.choice(
+        [("away", True, False), ("slow_s", 0.5, 0.0), ("mute", True, False)]
+    )
+    await _disturb(
+        site,
+        ("store",),
+        for_s,
+        lambda: setattr(site.store, name, bad),
+        lambda: setattr(site.store, name, good),
+    )
+
+
+async def store_silent(site, _callers, rng, for_s):
+    """Cut some machines from the store."""
+    names = set(rng.sample([*site.entries, *site.agents], rng.randint(1, 6)))
+
+    def applies(source, target):
+        return "store" in (source, target) and bool({source, target} & names)
+
+    await _disturb_links(site, tuple(names), for_s, Disturbance(applies))
+
+
+async def store_turns_away(site, _callers, rng, for_s):
+    """Let the store turn some machines away and serve the others."""
+    names = rng.sample([*site.entries, *site.agents], rng.randint(1, 5))
+    hosts = {site.own(each) for each in names}
+    await _disturb(
+        site,
+        tuple(names),
+        for_s,
+        lambda: site.store.turned_away.update(hosts),
+        lambda: site.store.turned_away.difference_update(hosts),
+    )
+
+
+async def store_forgets(site, _callers, _rng, for_s):
+    """Let the store drop its history."""
+    await _disturb(site, ("store",), for_s, site.store.forget, site.store.forget)
+
+
+# Workers.
+
+
+async def crash_worker(site, _callers, rng, _for_s):
+    """Let a worker crash and begin a new life."""
+    await site.workers[rng.choice(site.agents)].crash(rng.uniform(*WORKER_DOWN_S))
+
+
+async def failing_worker(site, _callers, rng, for_s):
+    """Let a worker fail much of what it starts."""
+    faults = site.workers[rng.choice(site.agents)].faults
+    share = rng.choice([0.4, 1.0])
+    faults.failing = lambda: rng.random() < share
+    await asyncio.sleep(for_s)
+    faults.failing = None
+
+
+async def standing_worker(site, _callers, rng, for_s):
+    """Let the runs that a worker begins stand still."""
+    faults = site.workers[rng.choice(site.agents)].faults
+    faults.stands = True
+    await asyncio.sleep(for_s)
+    faults.stands = False
+
+
+async def late_orders(site, _callers, rng, for_s):
+    """Let a worker leave orders without an answer and carry them out late."""
+    name = rng.choice(site.agents)
+    faults = site.workers[name].faults
+    over = site.witness.begin((name,))
+    faults.late = lambda: rng.uniform(*LATE_ORDERS_S) if rng.random() < 0.5 else 0.0
+    await asyncio.sleep(for_s)
+    faults.late = None
+    await asyncio.sleep(LATE_ORDERS_S[1])
+    over()
+
+
+async def drain_worker(site, _callers, rng, for_s):
+    """Let a worker drain, leave, and come back as a new one."""
+    worker = site.workers[rng.choice(site.agents)]
+    if worker.state != "ready":
+        return
+    worker.state = "draining"
+    await asyncio.sleep(max(for_s, 2.5))
+    worker.state, worker.confirmed_at = "ready", None
+    await worker.crash(rng.uniform(*WORKER_DOWN_S))
+
+
+# Operators.
+
+
+async def evacuate(site, _callers, rng, for_s):
+    """Let operators empty a data centre and take it back."""
+    zone = rng.choice(sorted({each.zone for each in site.workers.values()}))
+    key = f"op/evacuate/{zone}"
+    if site.store.keys(key):
+        return
+    await site.store.put(key, b"{}")
+    site.witness.evacuated(zone, asyncio.get_running_loop().time())
+    await asyncio.sleep(for_s + 4.0)
+    site.witness.evacuated(zone, None)
+    await site.store.remove(key)
+
+
+async def change_routes(site, callers, _rng, for_s):
+    """Let operators add or drop a route, and ask every entry for it."""
+    loop = asyncio.get_running_loop()
+    await site.configure(changed=True)
+    version, wanted, ordered_at = site.version, site.extra_route, loop.time()
+    while loop.time() < ordered_at + for_s + 2.5 and version == site.version:
+        for entry in site.entries:
+            status = await callers.ask_route(entry, ROUTE_PATH)
+            if status is not None and version == site.version:
+                site.witness.check_route(entry, status, wanted, ordered_at)
+        await asyncio.sleep(ASK_EVERY_S)
+
+
+KINDS = (
+    kill,
+    kill,
+    kill_all,
+    stop_in_turn,
+    stop_in_turn,
+    pause,
+    pause,
+    reload,
+    isolate,
+    cut_one_way,
+    bridge_cut,
+    silence_worker,
+    delay,
+    reset,
+    store_away,
+    store_silent,
+    store_turns_away,
+    store_forgets,
+    crash_worker,
+    failing_worker,
+    standing_worker,
+    late_orders,
+    drain_worker,
+    evacuate,
+    change_routes,
+)
--- /dev/null
+++ b/tests/faults/witness.py
@@ -0,0 +1,211 @@
+"""The witness: checks the promises by what workers, callers and the store see."""
+
+import asyncio
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from standins.platform import CAPACITY
+
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+EVACUATE_S = 5.0
+CONFIGURED_S = 2.0
+LOSS_SLACK_S = 0.2
+NOT_TAKEN = frozenset({400, 404, 413, 429, 503})
+
+
+@dataclass
+class Attempt:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    status : int or None
+        Of the answer; None if the connection broke or nothing came in time.
+    """
+
+    entry: str
+    sent_at: float
+    status: int | None = None
+    state: str = ""
+    ended_at: float = 0.0
+
+
+@dataclass
+class Job:
+    """What a caller has handed in, and what was seen of it."""
+
+    id: str
+    spec: str
+    tasks: int
+    cpu: int
+    deadline_s: float
+    attempts: list = field(default_factory=list)
+    starts: int = 0
+    done: set = field(default_factory=set)
+    failures: Counter = field(default_factory=Counter)
+
+
+class Witness:
+    """Takes note of what is seen, and of the promises that it breaks.
+
+    Parameters
+    ----------
+    max_attempts : int
+        Failed runs of a task that make its job fail.
+    """
+
+    def __init__(self, max_attempts):
+        self._max_attempts = max_attempts
+        self._now = asyncio.get_running_loop().time
+        self._disturbed = defaultdict(list)
+        self._evacuated_at = {}
+        self.jobs = {}
+        self.workers = {}
+        self.broken = []
+
+    def break_promise(self, promise, **facts):
+        """Take note of a broken promise."""
+        told = ", ".join(f"{name}={value}" for name, value in facts.items())
+        self.broken.append(f"{self._now():.3f} {promise}: {told}")
+
+    # Disturbances.
+
+    def begin(self, places):
+        """Take note that a disturbance of some places begins; return its end."""
+        spans = []
+        for place in places:
+            spans.append([self._now(), float("inf")])
+            self._disturbed[place].append(spans[-1])
+
+        def end():
+            for span in spans:
+                span[1] = self._now()
+
+        return end
+
+    def calm(self, places, since, until):
+        """Return whether nothing disturbed any of some places in a span of time."""
+        return not any(
+            begins < until and ends > since
+            for place in places
+            for begins, ends in self._disturbed[place]
+        )
+
+    def in_touch(self, places, at):
+        """Return whether the places and the store have been calm before a moment."""
+        return self.calm((*places, "store"), at - CONTACT_S, at)
+
+    def evacuated(self, zone, at):
+        """Take note of an evacuation that begins at a moment, or ends with None."""
+        self._evacuated_at[zone] = at
+
+    # What workers see.
+
+    def observe(self, worker, how, order):
+        """Take note of a start or an end on a worker."""
+        if how == "start":
+            self._started(worker, order)
+            return
+        job_id, _, _, index = order[0].split(".")
+        job = self.jobs.get(job_id)
+        if job is not None and how == "done":
+            job.done.add(int(index))
+        if job is not None and how == "failed":
+            job.failures[int(index)] += 1
+
+    def _started(self, worker, order):
+        """Check a start."""
+        task = order["task"]
+        job_id, occurrence, step, index = task.split(".")
+        job = self.jobs.get(job_id)
+        known = job is not None and (occurrence, step) == ("0", "0")
+        if not known or int(index) >= job.tasks or order["spec"] != job.spec:
+            self.break_promise("unasked", worker=worker.name, task=task)
+            return
+        job.starts += 1
+        self._check_single(worker, task, order["run_id"])
+        self._check_room(worker)
+        self._check_orders(worker, job, task)
+
+    def _check_single(self, worker, task, own_attempt):
+        """Check that no other run of the task is alive."""
+        for other in self.workers.values():
+            for each, attempt in other.running:
+                own = other is worker and attempt == own_attempt
+                if each == task and not own:
+                    self.break_promise(
+                        "two runs of a task",
+                        task=task,
+                        attempt=attempt,
+                        workers=f"{other.name} {worker.name}",
+                    )
+
+    def _check_room(self, worker):
+        """Check that what runs fits the worker."""
+        taken = 0
+        for task, _ in worker.running:
+            job = self.jobs.get(task.partition(".")[0])
+            taken += 0 if job is None else job.cpu
+        if taken > CAPACITY["cpu"]:
+            self.break_promise("room", worker=worker.name, taken=taken)
+
+    def _check_orders(self, worker, job, task):
+        """Check the operators' orders, if the senders were in touch."""
+        now = self._now()
+        entry = job.attempts[-1].entry
+        if not self.in_touch((entry, worker.name), now):
+            return
+        confirmed = worker.confirmed_at
+        if confirmed is not None and now > confirmed + DRAIN_S:
+            self.break_promise("drain", worker=worker.name, task=task)
+        evacuated = self._evacuated_at.get(worker.zone)
+        if evacuated is not None and now > evacuated + EVACUATE_S:
+            self.break_promise("evacuation", worker=worker.name, task=task)
+
+    # What callers see.
+
+    def answered(self, job, attempt, terms):
+        """Check one answer, or its absence.
+
+        Parameters
+        ----------
+        terms : list of tuple
+            The planned stops: the entry and when it was asked to stop.
+        """
+        if attempt.state == "completed" and len(job.done) < job.tasks:
+            self.break_promise("partial answer", job=job.id, done=len(job.done))
+        if attempt.state == "failed":
+            worst = max(job.failures.values(), default=0)
+            if worst < self._max_attempts:
+                self.break_promise("failed without cause", job=job.id, failures=worst)
+        if attempt.status is None:
+            self._check_cut(job, attempt, terms)
+
+    def _check_cut(self, job, attempt, terms):
+        """Check that no planned stop alone has cut a request."""
+        held_s = attempt.ended_at - attempt.sent_at
+        if held_s < LOSS_SLACK_S or held_s >= job.deadline_s:
+            return
+        for entry, asked_at in terms:
+            mine = entry == attempt.entry and asked_at < attempt.ended_at
+            calm = self.calm((entry,), asked_at - CONTACT_S, attempt.ended_at)
+            if mine and attempt.ended_at - asked_at < 7.0 and calm:
+                self.break_promise("cut by a planned stop", job=job.id, entry=entry)
+
+    def check_route(self, entry, status, wanted, ordered_at):
+        """Check how an entry treats a route that operators added or dropped."""
+        now = self._now()
+        late = now > ordered_at + CONFIGURED_S and self.in_touch((entry,), now)
+        if late and (status == 404) != (not wanted):
+            self.break_promise("configuration", entry=entry, status=status)
+
+    def check_end(self):
+        """Check what must hold once everything has settled."""
+        for job in self.jobs.values():
+            statuses = {each.status for each in job.attempts}
+            if job.starts and statuses <= NOT_TAKEN:
+                self.break_promise("refused and run", job=job.id, statuses=statuses)
+        for worker in self.workers.values():
+            if worker.running:
+                self.break_promise("left running", worker=worker.name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -272,7 +272,7 @@
     def test_a_start_without_an_answer_runs_once(self, on_site):
         async def scenario(site):
             for worker in site.workers:
-                worker.mute_starts = 1
+                worker.faults.mute_starts = 1
             assert (await site.submit(JOB, "0.3", 4))[0] == 200
             assert len(site.started()) == 4
 
