Look at a worker once at a time; keep permissions with few dispatchers

Change: an agent asks 5 dispatchers, by rendezvous, and those with runs there; a look is repeated only when it is overdue; a dispatcher looks at its queue only after a task, room or time has come, and tells six workers at once, those told longest ago. With three entries all of them are asked, as before.

--- a/ragwortlug/actor.py
+++ b/ragwortlug/actor.py
@@ -114,7 +114,8 @@
         self._peers.handle(kind, self.post)
 
     def _call(self, coroutine):
-        """Make a call to the outside in a task of its own."""
+        """Make a call to the outside in a task of its own; return the task."""
         call = asyncio.create_task(coroutine)
         self._calls.add(call)
         call.add_done_callback(self._calls.discard)
+        return call
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -26,6 +26,7 @@
 
 MS_PER_S = 1000.0
 WANTS_EVERY_S = 0.01
+TOLD_AT_ONCE = 6
 MOVE_FACTOR = 1.5
 MOVE_COST_MS = 40.0
 RETRY_AFTER_S = 1
@@ -71,6 +72,7 @@
         self._wants = {}
         self._wants_sent_at = 0.0
         self._entries = ()
+        self._stirred = True
 
     @property
     def open_jobs(self):
@@ -140,6 +142,7 @@
         self._records[job.id] = record
         facts = self._job_facts(record, chain_ms, now)
         accepted = Event(EventName.JOB_ACCEPTED, job.id, facts)
+        self._stirred = True
         return [accepted, *self._dispatch(now)]
 
     def cancel(self, request, job_id, now):
@@ -151,6 +154,7 @@
         if record.requests:
             return []
         abandoned = events.job_abandoned(record, now)
+        self._stirred = True
         return [abandoned, *self._drop(record), *self._dispatch(now)]
 
     def delete(self, job_id, now):
@@ -158,6 +162,7 @@
         record = self._records.get(job_id)
         if record is None:
             return None
+        self._stirred = True
         return self._settle(record, Code.CANCELLED, now) + self._dispatch(now)
 
     # Messages of agents.
@@ -166,7 +171,10 @@
         """Renew an agent's permission and take note of its worker."""
         known = self._workers.get(sender.incarnation)
         before = None if known is None else known.accepting
+        room = None if known is None else known.free
         worker = self._workers.renewal(sender, message, now)
+        if not before or room is None or not room.holds(worker.free):
+            self._stirred = True
         effects = [Send(sender, Renewed(message.stamp_ms, self._entries))]
         effects += events.worker_heard(worker, before)
         if message.worker is None or not message.worker.accepting:
@@ -185,6 +193,7 @@
         if worker is not None:
             worker.heard_at = now
             worker.reported_free(message.free, now)
+        self._stirred = True
         return effects + self._dispatch(now)
 
     def offer(self, sender, message, now):
@@ -254,6 +263,7 @@
         self._orders = orders
         self._workers.evacuated = frozenset(orders.evacuated)
         applied = events.orders_applied(orders, self.version)
+        self._stirred = True
         return [applied, *self._dispatch(now)]
 
     def entries_known(self, entries):
@@ -270,6 +280,7 @@
             check(Invariant.ONE_RUN, not worker.out, out=worker.out)
         for record in tuple(self._records.values()):
             effects += self._check_deadline(record, now)
+        self._stirred = True
         return effects + self._dispatch(now)
 
     # Decisions.
@@ -426,7 +437,13 @@
         return queued
 
     def _dispatch(self, now):
-        """Order waiting tasks where room is known, and say that others wait."""
+        """Order waiting tasks where room is known, and say that others wait.
+
+        Nothing is looked at unless a task, room or time has come since the last call.
+        """
+        if not self._stirred:
+            return []
+        self._stirred = False
         services = {
             each.queue.service for each in self._records.values() if each.has_waiting
         }
@@ -484,13 +501,14 @@
         if fresh and self._wants.get(service) != rank:
             self._wants[service] = rank
             self._wants_sent_at = now
-            untold = self._workers.serving(service, now)
+            untold = self._workers.told_longest_ago(service, TOLD_AT_ONCE, now)
         else:
             untold = [
                 each for each in self._workers.serving(service, now) if not each.told
             ]
         for worker in untold:
             worker.told = True
+            worker.told_at = now
         message = Wants(rank, room)
         return [Send(worker.peer, message) for worker in untold]
 
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -3,9 +3,10 @@
 import asyncio
 from dataclasses import dataclass
 
-from ragwortlug.actor import PeerActor, Tick
+from ragwortlug.actor import PeerActor, Tick, cancel_all
 from ragwortlug.errors import WorkerFencedError, WorkerSilentError
 from ragwortlug.events import Event
+from ragwortlug.jobs.dispatchers import Dispatchers
 from ragwortlug.jobs.worker_calls import (
     LookAtWorker,
     StartAnswer,
@@ -18,10 +19,8 @@
 from ragwortlug.messages import Peer, Renewed, Send, StartRuns, StopRuns, Wants
 
 TICK_S = 0.05
-WATCHES = 2
-# A dispatcher that has not answered for that long gets a new connection: an open one
-# may have gone silent for good.
-SILENCE_S = 0.5
+# How much later than asked a look may answer before the next one begins.
+OVERDUE_S = 0.03
 PAUSE_AFTER_FAILURE_S = 0.05
 MS_PER_S = 1000.0
 
@@ -99,11 +98,10 @@
         self._runner = runner
         self._client = client
         self._settings = settings
-        self._dispatchers = dict.fromkeys(seeds, 0.0)
-        self._told_at = {}
-        self._connected_at = {}
+        self._dispatchers = Dispatchers(peers.own.address, settings)
+        self.meet(seeds)
         self._journal = journal
-        self._watching = []
+        self._watching = None
         self._wake = asyncio.Event()
         decisions = {
             Renewed: self._renewed,
@@ -140,24 +138,22 @@
 
     def meet(self, addresses):
         """Take addresses at which dispatchers may be."""
-        for address in addresses:
-            self._dispatchers.setdefault(address, 0.0)
+        self._dispatchers.meet(addresses)
 
     @property
     def heard_at(self):
         """Return the monotonic seconds of the latest renewal, or 0."""
-        return max(self._dispatchers.values(), default=0.0)
+        return self._dispatchers.heard_at
 
     async def start(self):
         """Begin to serve."""
         await super().start()
-        self._watching = [asyncio.create_task(self._watch()) for _ in range(WATCHES)]
+        self._watching = asyncio.create_task(self._watch())
         self._timer.every(TICK_S, lambda: self.post(None, Tick()))
 
     async def stop(self):
         """End the calls to the worker."""
-        for watch in self._watching:
-            watch.cancel()
+        await cancel_all([self._watching])
         await super().stop()
 
     # Messages and events.
@@ -170,7 +166,7 @@
 
     def _renewed(self, sender, message, now):
         """Take a renewal, and the entries that the dispatcher knows."""
-        self._dispatchers[sender.address] = now
+        self._dispatchers.heard(sender.address, now)
         self.meet(message.entries)
         return self._runner.renewed(sender, message, now)
 
@@ -181,23 +177,14 @@
 
     def _tick(self, now):
         """Ask for renewals that are due, and let the runner look after time."""
-        active = self._runner.active_dispatchers()
-        for address in self._dispatchers:
-            busy = address in active
-            period_ms = (
-                self._settings.renew_ms if busy else self._settings.idle_renew_ms
-            )
-            if now - self._told_at.get(address, 0.0) >= period_ms / MS_PER_S:
-                self._ask(address, now)
+        busy = self._runner.active_dispatchers()
+        for address in self._dispatchers.due(busy, now):
+            self._ask(address, now)
         return self._runner.tick(now)
 
     def _ask(self, address, now):
         """Ask one dispatcher for a renewal, on a new connection if it is silent."""
-        self._told_at[address] = now
-        heard_at = max(self._dispatchers[address], self._connected_at.get(address, now))
-        self._connected_at.setdefault(address, now)
-        if now - heard_at > SILENCE_S:
-            self._connected_at[address] = now
+        if self._dispatchers.asked(address, now):
             self._peers.reconnect(address)
         self._peers.send(Peer(address), self._runner.renewal(address, now))
 
@@ -219,7 +206,7 @@
                 self._call(self._look(0))
             elif isinstance(effect, TellDispatchers):
                 now = self._timer.monotonic()
-                for address in self._dispatchers:
+                for address in self._dispatchers.kept(now):
                     self._ask(address, now)
         if self._runner.running:
             self._wake.set()
@@ -244,15 +231,18 @@
     async def _watch(self):
         """Look at the worker again and again while something runs there.
 
-        There is more than one watch, so that an answer that is lost does not
-        hide the ends of runs for as long as it is awaited.
+        A look that is overdue goes on beside the next one, so that an answer that
+        is lost does not hide the ends of runs for as long as it is awaited.
         """
+        limit_s = self._settings.look_ms / MS_PER_S + OVERDUE_S
         while True:
             await self._wake.wait()
             if not self._runner.running:
                 self._wake.clear()
                 continue
-            if not await self._look(self._settings.look_ms):
+            look = self._call(self._look(self._settings.look_ms))
+            done, _ = await asyncio.wait({look}, timeout=limit_s)
+            if done and not look.result():
                 await asyncio.sleep(PAUSE_AFTER_FAILURE_S)
 
     async def _look(self, wait_ms):
--- a/ragwortlug/policy/workers.py
+++ b/ragwortlug/policy/workers.py
@@ -5,6 +5,7 @@
 like an idle one, so it rests and then has to prove itself with one task.
 """
 
+import heapq
 from dataclasses import dataclass, field
 
 from ragwortlug.messages import Peer
@@ -36,8 +37,8 @@
         Run times here over those expected of an average worker.
     out : dict
         Orders that have not ended: number to the time of the order.
-    told : bool
-        Whether the agent has been told that work waits.
+    told, told_at : bool, float
+        Whether the agent has been told that work waits, and when last.
     """
 
     peer: Peer
@@ -51,6 +52,7 @@
     recent: list = field(default_factory=list)
     health: WorkerHealth = field(default_factory=lambda: WorkerHealth(FAILURES_TO_REST))
     told: bool = False
+    told_at: float = 0.0
 
     @property
     def accepting(self):
@@ -145,6 +147,11 @@
             and self._in_touch(each, now)
         ]
 
+    def told_longest_ago(self, service, count, now):
+        """Return those of the serving workers that heard least lately of work."""
+        serving = self.serving(service, now)
+        return heapq.nsmallest(count, serving, key=lambda each: each.told_at)
+
     def could_ever_hold(self, service, room, label):
         """Return whether some worker known is large enough, or none is known."""
         states = [
--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -122,6 +122,8 @@
         How long an agent keeps offered room for a dispatcher.
     queue_jobs : int
         Most jobs that one dispatcher holds.
+    dispatchers : int
+        How many dispatchers an agent without runs asks for permissions.
     caller_retry_ms : int
         Time after which callers ask again.
     """
@@ -137,6 +139,7 @@
     call_ms: Count = 60
     offer_ms: Count = 80
     queue_jobs: Count = 2000
+    dispatchers: Count = 5
     caller_retry_ms: Count = 1300
 
 
