--- a/ragwortlug/jobs/dispatchers.py
+++ b/ragwortlug/jobs/dispatchers.py
@@ -34,7 +34,7 @@
 
     rank: bytes
     heard_at: float = 0.0
-    asked_at: float = 0.0
+    asked_at: float = float("-inf")
     waiting_since: float | None = None
     connected_at: float = 0.0
 
--- a/ragwortlug/telemetry/journal.py
+++ b/ragwortlug/telemetry/journal.py
@@ -70,6 +70,11 @@
         """Return how many lines of each name were left out since the last report."""
         return self._left_out
 
+    @property
+    def waiting(self):
+        """Return the number of lines that are not written yet."""
+        return self._lines.qsize()
+
     def emit(self, event):
         """Write an event, unless there are too many of its name."""
         now = time.monotonic()
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -20,6 +20,7 @@
 SETTLE_S = 5.0
 LONGEST_FAULT_S = 3.0
 LAST_JOBS = 12
+LAG_EVERY_S = 0.05
 
 
 async def play(seed, folder, for_s=12.0, faults=12):
@@ -39,10 +40,13 @@
     Returns
     -------
     dict
-        Seed, answers by status, the faults, and the broken promises.
+        Seed, answers by status, the faults, the broken promises, and by how much
+        the soak's own process was late at most, which its stand-ins were too.
     """
     site = Site(seed, folder)
     callers = Callers(site)
+    lags = []
+    watch = asyncio.create_task(_watch_lag(lags))
     try:
         await callers.start()
         await site.start()
@@ -60,16 +64,27 @@
         await _check_recovery(site, callers)
         site.witness.check_end()
     finally:
+        watch.cancel()
         await callers.stop()
         await site.stop()
     return {
         "seed": seed,
         "answers": dict(Counter(str(each) for each in callers.statuses)),
         "faults": [f"{at_s:.2f} {kind.__name__}" for at_s, kind, _ in plan],
+        "lag_ms": round(1000 * max(lags, default=0.0)),
         "broken": site.witness.broken,
     }
 
 
+async def _watch_lag(lags):
+    """Take note of how late this process is."""
+    loop = asyncio.get_running_loop()
+    while True:
+        began = loop.time()
+        await asyncio.sleep(LAG_EVERY_S)
+        lags.append(loop.time() - began - LAG_EVERY_S)
+
+
 async def until_served(callers):
     """Wait until a job is completed; return whether one is in time."""
     loop = asyncio.get_running_loop()
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 CHUNK_BYTES = 65_536
+MUTED_CHECK_S = 0.1
 # With this option a closed socket sends a reset instead of an orderly end.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -36,6 +37,7 @@
         self._disturbances = []
         self._changed = asyncio.Event()
         self._open = set()
+        self._muted = set()
 
     def begin(self, disturbance):
         """Let a disturbance begin."""
@@ -54,18 +56,27 @@
                 for writer in writers:
                     _abort(writer)
 
+    def mute(self, applies):
+        """Silence open connections for good; new ones work."""
+        for connection in self._open:
+            if applies(*connection[:2]):
+                self._muted.add(connection)
+
     @contextlib.contextmanager
     def connection(self, source, target, writers):
         """Know of a connection while it is open."""
         entry = (source, target, writers)
         self._open.add(entry)
         try:
-            yield
+            yield entry
         finally:
             self._open.discard(entry)
+            self._muted.discard(entry)
 
-    async def cross(self, source, target):
-        """Return when bytes may go on from one place to another."""
+    async def cross(self, connection, source, target):
+        """Return when bytes of a connection may go on from one place to another."""
+        while connection in self._muted:
+            await asyncio.sleep(MUTED_CHECK_S)
         while True:
             mine = [x for x in self._disturbances if x.applies(source, target)]
             if not any(each.delay_s is None for each in mine):
@@ -116,27 +127,28 @@
         except OSError:
             _abort(writer)
             return
-        with self._links.connection(source, self._place, (writer, inner)):
+        writers = (writer, inner)
+        with self._links.connection(source, self._place, writers) as connection:
             await asyncio.gather(
-                self._pass_on(reader, inner, source, self._place),
-                self._pass_on(inner_reader, writer, self._place, source),
+                self._pass_on(connection, reader, inner, source, self._place),
+                self._pass_on(connection, inner_reader, writer, self._place, source),
             )
         for each in (writer, inner):
             each.close()
 
-    async def _pass_on(self, reader, writer, source, target):
+    async def _pass_on(self, connection, reader, writer, source, target):
         """Pass bytes one way until that way is closed."""
         try:
             while data := await reader.read(CHUNK_BYTES):
-                await self._links.cross(source, target)
+                await self._links.cross(connection, source, target)
                 if writer.is_closing():
                     return
                 writer.write(data)
                 await writer.drain()
-            await self._links.cross(source, target)
+            await self._links.cross(connection, source, target)
             writer.close()
         except OSError:
-            await self._links.cross(source, target)
+            await self._links.cross(connection, source, target)
             _abort(writer)
 
 
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -152,6 +152,17 @@
     over()
 
 
+async def mute(site, _callers, rng, for_s):
+    """Silence a machine's open connections for good, those to callers apart."""
+    name = _anyone(site, rng)
+    over = site.witness.begin((name,))
+    site.links.mute(
+        lambda source, target: name in (source, target) and source != "callers"
+    )
+    await asyncio.sleep(for_s)
+    over()
+
+
 # The store.
 
 
@@ -289,6 +300,8 @@
     silence_worker,
     delay,
     reset,
+    mute,
+    mute,
     store_away,
     store_silent,
     store_turns_away,
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,58 @@
+"""The journal: bounded, and never in the way."""
+
+import io
+import json
+import os
+
+from ragwortlug.events import Event, EventName
+from ragwortlug.telemetry.journal import IMPORTANT_RATE_PER_S, QUEUED_LINES, Journal
+
+MANY = 3 * QUEUED_LINES
+
+
+def lines(stream):
+    """Return the decoded lines of a stream."""
+    return [json.loads(each) for each in stream.getvalue().splitlines()]
+
+
+class TestJournal:
+    """What a process writes to standard output."""
+
+    def test_a_line_has_what_decided(self):
+        stream = io.BytesIO()
+        journal = Journal("entry 1", stream)
+        journal.tell(EventName.JOB_REFUSED, "00c0ffee00c0ffee", code="QUEUE_FULL")
+        journal.close()
+        (line,) = lines(stream)
+        assert line["event"] == "job_refused"
+        assert line["job"] == "00c0ffee00c0ffee"
+        assert line["code"] == "QUEUE_FULL"
+        assert line["process"] == "entry 1"
+
+    def test_one_event_does_not_drown_the_others(self):
+        stream = io.BytesIO()
+        journal = Journal("entry 1", stream)
+        for _ in range(MANY):
+            journal.emit(Event(EventName.RUN_ORDERED, "a", {}))
+        journal.tell(EventName.JOB_REFUSED, "b")
+        journal.close()
+        seen = [each["event"] for each in lines(stream)]
+        assert "job_refused" in seen
+        # Some seconds of the rate at most: the loop takes far less than ten.
+        assert seen.count("run_ordered") < 12 * IMPORTANT_RATE_PER_S
+        counts = [each["counts"] for each in lines(stream) if "counts" in each]
+        left_out = sum(each.get("run_ordered", 0) for each in counts)
+        assert left_out + seen.count("run_ordered") == MANY
+
+    def test_a_reader_that_stands_still_blocks_nothing(self):
+        reading, writing = os.pipe()
+        stream = os.fdopen(writing, "wb", buffering=0)
+        journal = Journal("entry 1", stream)
+        for number in range(MANY):
+            # As many names as there are, so that the buckets let more through.
+            name = list(EventName)[number % len(EventName)]
+            journal.emit(Event(name, "a" * 16, {"text": "x" * 200}))
+        assert journal.waiting <= QUEUED_LINES
+        assert sum(journal.left_out.values()) > 0
+        os.close(reading)
+        journal.close()
