Serve relays of the soak without looking up who connects, where that is known

The soak's own process was late by up to 396 ms: each connection to a worker or the store was looked up in /proc, timeouts closed connections, and new ones cost more look-ups.

Change: workers' and the store's relays belong to one process each.

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ragwortlug.actor import cancel_all
+
 CHUNK_BYTES = 65_536
 MUTED_CHECK_S = 0.1
 # With this option a closed socket sends a reset instead of an orderly end.
@@ -107,6 +109,7 @@
         self._target = target
         self._source_of = source_of
         self._server = None
+        self._serving = set()
 
     async def start(self):
         """Begin to listen."""
@@ -115,9 +118,15 @@
     async def stop(self):
         """Stop listening."""
         self._server.close()
-        self._links.reset(lambda _, target: target == self._place)
+        await cancel_all(tuple(self._serving))
+
+    def _accept(self, reader, writer):
+        """Begin to serve one connection."""
+        serving = asyncio.create_task(self._serve(reader, writer))
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
 
-    async def _accept(self, reader, writer):
+    async def _serve(self, reader, writer):
         """Pass the bytes of one connection both ways."""
         try:
             source, host = self._source_of(writer.get_extra_info("peername"))
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -90,11 +90,11 @@
         """Start everything."""
         await self.store.start(self.own("store"), STORE)
         await self.configure()
-        await self._relay("store", STORE, self._source)
         for name in self.entries:
-            await self._relay(name, FRONT, lambda _: ("callers", "127.0.0.1"))
+            await self._relay(name, name, FRONT, lambda _: ("callers", "127.0.0.1"))
         for number, name in enumerate([*self.entries, *self.agents]):
-            await self._relay(name, INNER, self._source)
+            await self._relay(name, name, INNER, self._source)
+            await self._relay(name, "store", STORE, self._always(name))
             await self._launch(name, ZONES[number % len(ZONES)])
         for number, name in enumerate(self.agents):
             await self._add_worker(name, ZONES[number % len(ZONES)])
@@ -141,11 +141,14 @@
             raise ConnectionAbortedError(f"{address} is of no process that runs")
         return name, self.own(name)
 
-    async def _relay(self, name, port, source_of):
-        """Start a relay before a place's port."""
-        relay = Relay(
-            self.links, name, (self.told(name), port), (self.own(name), port), source_of
-        )
+    def _always(self, name):
+        """Return what tells that whoever connects is a process."""
+        return lambda _: (name, self.own(name))
+
+    async def _relay(self, name, place, port, source_of):
+        """Start a relay at a process's told address, to a port of a place."""
+        listen, target = (self.told(name), port), (self.own(place), port)
+        relay = Relay(self.links, place, listen, target, source_of)
         self._relays.append(relay)
         await relay.start()
 
@@ -160,7 +163,7 @@
                 zone=zone,
                 inner=INNER,
                 seeds=json.dumps(seeds),
-                store=self.told("store"),
+                store=self.told(name),
             )
         )
         listen = f"tcp://{self.own(name)}:{INNER}"
@@ -179,7 +182,8 @@
         self.workers[name] = worker
         place = f"worker of {name}"
         address = (self.told(name), APP)
-        relay = Relay(self.links, place, address, (self.own(name), APP), self._source)
+        target = (self.own(name), APP)
+        relay = Relay(self.links, place, address, target, self._always(name))
         self._relays.append(relay)
         await relay.start()
         await worker.start(self.own(name), APP, f"{self.told(name)}:{APP}")
