--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 READY := $(VENV)/.ready
 SEED ?= 1
 MINUTES ?= 1
+COUNT ?= 1
 
-.PHONY: demo test lint bench soak
+.PHONY: demo test lint bench soak faults
 
 $(READY): pyproject.toml
 	python3 -m venv $(VENV)
@@ -27,3 +28,6 @@
 
 soak: $(READY)
 	$(PYTHON) -m tests.soak --seed $(SEED) --minutes $(MINUTES)
+
+faults: $(READY)
+	$(PYTHON) -m tests.faults --seed $(SEED) --count $(COUNT)
