Say that no worker known here can hold a task, instead of that none ever can

Cause: with permissions of some agents only, an entry knows a part of the workers, so that its word that a task can never run may be untrue. A restarted entry knew few workers for a moment before, too.

Test through sockets.

--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -100,6 +100,7 @@
     ENTRY_LEAVING = 150, Verdict.NOT_RUN, 503, "The entry is about to stop."
     NOT_STORED = 148, Verdict.NOT_RUN, 503, "Jobs that must be stored aren't taken."
     NO_CONFIGURATION = 149, Verdict.NOT_RUN, 503, "No configuration is known yet."
+    NO_WORKER_HERE = 151, Verdict.NOT_RUN, 503, "No worker known here can hold a task."
 
     # Work that started and did not succeed.
     TASK_FAILED = 200, Verdict.FAILED, 500, "The task ran and failed."
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -296,7 +296,7 @@
             self._workers.could_ever_hold(service, step.room, step.label)
             for step in record.job.steps
         )
-        return None if fitting else Code.CAN_NEVER_RUN
+        return None if fitting else Code.NO_WORKER_HERE
 
     def _job_facts(self, record, chain_ms, now):
         """Return what decides on taking a job."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -339,6 +339,9 @@
         on_site(scenario)
 
 
+HUGE = '{"spec":"1","best_effort":true,"steps":[{"count":1,"cpu":100000}]}'
+
+
 class TestBadInput:
     """Bad input gets its numbered error and harms nothing else."""
 
@@ -354,6 +357,7 @@
             ("/p/" + JOB, '{"spec":"x","steps":[{"count":0}]}', 400, "BAD_FIELD"),
             ("/p/" + JOB, '{"spec":"x","steps":[{"count":1}]}', 503, "NOT_STORED"),
             ("/p/" + JOB, "x" * 3000, 413, "BODY_TOO_LARGE"),
+            ("/p/" + JOB, HUGE, 503, "NO_WORKER_HERE"),
         ],
     )
     def test_of_clients(self, on_site, path, body, status, name):
