Tell of stops, reloads and silent dispatchers; histograms of waits, runs and worker calls

Change: the daemon tells of stopping and reloads, an agent of dispatchers that do not answer and answer again; waits, runs and calls to the worker go into histograms. What agents are told of waiting work moved to a module of its own.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -6,12 +6,19 @@
 
 from ragwortlug.actor import PeerActor, Tick
 from ragwortlug.codes import Code
-from ragwortlug.events import Event
+from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatcher import JobSettled
 from ragwortlug.messages import Offer, Progress, Renewal, RunsEnded, Send
 from ragwortlug.work import Orders, Queue, RestartableJob
 
 TICK_S = 0.05
+MS_PER_S = 1000.0
+# The histogram and the fact, in milliseconds, of each event that tells a duration.
+DURATIONS = {
+    EventName.RUN_ORDERED: ("run_waited", "waited_ms"),
+    EventName.RUN_ENDED: ("run", "run_ms"),
+    EventName.JOB_REFUSED: ("refusal", "elapsed_ms"),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,10 +149,18 @@
                 self._peers.send(effect.to, effect.body)
             elif isinstance(effect, Event):
                 self._metrics.count("events", effect.name.value)
+                self._time(effect)
                 self._journal.emit(effect)
             else:
                 self._settle(effect)
 
+    def _time(self, event):
+        """Take the durations that an event tells of into the histograms."""
+        duration = DURATIONS.get(event.name)
+        if duration is not None:
+            name, fact = duration
+            self._metrics.time(name, event.facts[fact] / MS_PER_S)
+
     def _settle(self, settled: JobSettled):
         """Give a request its answer."""
         self._metrics.count("jobs_settled", settled.code.name)
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -22,7 +22,7 @@
     STARTED = "started", "The process serves."
     STOPPING = "stopping", "The process has been told to stop."
     STOPPED = "stopped", "The process has ended its work."
-    RELOADED = "reloaded", "The settings file was read again."
+    RELOADED = "reloaded", "A signal told of new settings; a restart reads them."
     LINES_LEFT_OUT = "lines_left_out", "Lines were left out to bound the volume."
 
     REQUEST_ANSWERED = "request_answered", "A request has its answer."
@@ -53,7 +53,8 @@
     WORKER_SILENT = "worker_silent", "A worker does not answer its agent."
     WORKER_ANSWERS = "worker_answers", "A worker answers its agent again."
 
-    DISPATCHER_SILENT = "dispatcher_silent", "An agent's permission is running out."
+    DISPATCHER_SILENT = "dispatcher_silent", "An agent's questions have no answer."
+    DISPATCHER_ANSWERS = "dispatcher_answers", "A dispatcher answers its agent again."
     ENTRY_HEARD = "entry_heard", "An entry hears another one."
     ENTRY_SILENT = "entry_silent", "An entry hears another one no longer."
     ORDERS_APPLIED = "orders_applied", "Operators' newer orders are in force here."
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -56,6 +56,7 @@
 def run_ordered(record, task, worker, now):
     """Return the event of an order, with the age of what is known of the agent."""
     facts = _run_facts(task, worker) | {
+        "waited_ms": whole_ms(now - record.arrived),
         "expected_ms": round(task.expected_ms * worker.ratio),
         "free_mc": worker.free.cpu,
         "heard_ms": whole_ms(now - worker.heard_at),
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -18,15 +18,14 @@
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs import dispatch_events as events
 from ragwortlug.jobs.restartable import RestartableRecord
-from ragwortlug.messages import Renewed, Send, StartRuns, StopRuns, Wants
+from ragwortlug.jobs.room_requests import RoomRequests
+from ragwortlug.messages import Renewed, Send, StartRuns, StopRuns
 from ragwortlug.policy.forecast import Forecast
 from ragwortlug.policy.work_order import objective_ms, rank_of, unreachable
 from ragwortlug.policy.workers import STALL_WEIGHT, Workers
 from ragwortlug.work import Orders, Room, Run, RunEnd
 
 MS_PER_S = 1000.0
-WANTS_EVERY_S = 0.01
-TOLD_AT_ONCE = 6
 MOVE_FACTOR = 1.5
 MOVE_COST_MS = 40.0
 RETRY_AFTER_S = 1
@@ -69,8 +68,7 @@
         self._workers = Workers(settings, rng)
         self._forecast = Forecast()
         self._orders = Orders()
-        self._wants = {}
-        self._wants_sent_at = 0.0
+        self._requests = RoomRequests(self._workers)
         self._entries = ()
         self._stirred = True
 
@@ -133,7 +131,8 @@
         record.objective_at = now + objective_ms(queue, chain_ms) / MS_PER_S
         code = self._refusal(record, chain_ms, now)
         if code is not None:
-            facts = self._job_facts(record, chain_ms, now) | {"code": code.name}
+            facts = self._job_facts(record, chain_ms, now)
+            facts |= {"code": code.name, "elapsed_ms": 0}
             return [
                 Event(EventName.JOB_REFUSED, job.id, facts),
                 JobSettled(request, job.id, code, _retry_after_s(code)),
@@ -452,7 +451,7 @@
         for service in services:
             blocked = self._place(service, runs, effects, now)
             if blocked is not None:
-                effects += self._tell(service, *blocked, now)
+                effects += self._requests.tell(service, *blocked, now)
         for incarnation, ordered in runs.items():
             worker = self._workers.get(incarnation)
             message = StartRuns(worker.stamp_ms, tuple(ordered))
@@ -495,23 +494,6 @@
         )
         return run, ordered
 
-    def _tell(self, service, rank, room, now):
-        """Tell agents that work waits; they offer room as it becomes free."""
-        fresh = now - self._wants_sent_at >= WANTS_EVERY_S
-        if fresh and self._wants.get(service) != rank:
-            self._wants[service] = rank
-            self._wants_sent_at = now
-            untold = self._workers.told_longest_ago(service, TOLD_AT_ONCE, now)
-        else:
-            untold = [
-                each for each in self._workers.serving(service, now) if not each.told
-            ]
-        for worker in untold:
-            worker.told = True
-            worker.told_at = now
-        message = Wants(rank, room)
-        return [Send(worker.peer, message) for worker in untold]
-
 
 def _retry_after_s(code):
     """Return when a caller with that answer may come again; 0 for never."""
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -5,7 +5,7 @@
 
 from ragwortlug.actor import PeerActor, Tick, cancel_all
 from ragwortlug.errors import WorkerFencedError, WorkerSilentError
-from ragwortlug.events import Event
+from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatchers import Dispatchers
 from ragwortlug.jobs.worker_calls import (
     LookAtWorker,
@@ -99,6 +99,7 @@
         self._client = client
         self._settings = settings
         self._dispatchers = Dispatchers(peers.own.address, settings)
+        self._silent = set()
         self.meet(seeds)
         self._journal = journal
         self._watching = None
@@ -166,6 +167,10 @@
 
     def _renewed(self, sender, message, now):
         """Take a renewal, and the entries that the dispatcher knows."""
+        if sender.address in self._silent:
+            self._silent.discard(sender.address)
+            facts = {"dispatcher": sender.address}
+            self._journal.tell(EventName.DISPATCHER_ANSWERS, **facts)
         self._dispatchers.heard(sender.address, now)
         self.meet(message.entries)
         return self._runner.renewed(sender, message, now)
@@ -186,6 +191,10 @@
         """Ask one dispatcher for a renewal, on a new connection if it is silent."""
         if self._dispatchers.asked(address, now):
             self._peers.reconnect(address)
+            if address not in self._silent:
+                self._silent.add(address)
+                facts = {"dispatcher": address, "runs": self._runner.running}
+                self._journal.tell(EventName.DISPATCHER_SILENT, **facts)
         self._peers.send(Peer(address), self._runner.renewal(address, now))
 
     # Effects.
@@ -217,7 +226,9 @@
         if worker is None or worker.boot != order.boot:
             answer = StartAnswer.REJECTED
         else:
+            began = self._timer.monotonic()
             answer = await self._client.start_run(worker, order)
+            self._metrics.time("worker_start", self._timer.monotonic() - began)
         self.post(None, StartAnswered(order.key, answer))
 
     async def _stop_run(self, order):
@@ -266,5 +277,7 @@
             self._log.warning("The worker does not answer: {}.", error)
             self.post(None, LookFailed(worker.boot, error.refused))
             return False
+        if not wait_ms:
+            self._metrics.time("worker_look", self._timer.monotonic() - asked_at)
         self.post(None, Looked(lists, asked_at))
         return True
--- a/ragwortlug/platform/__main__.py
+++ b/ragwortlug/platform/__main__.py
@@ -51,7 +51,7 @@
 async def _run(settings, compose, journal):
     """Compose a program and serve."""
     journal.tell(EventName.STARTED, address=settings.address)
-    code = await serve(compose(settings, journal), settings.grace_s)
+    code = await serve(compose(settings, journal), settings.grace_s, journal)
     journal.tell(EventName.STOPPED, code=code)
     return code
 
