Learn from its bytes who opens a connection to a relay of the soak

The soak's process was late by up to 1,078 ms: it looked up in /proc/net/tcp who connects, which grows with every connection of the machine that has timed out; answers of the store and workers came late, their connections were closed, and new ones cost more.

Ruled out: the programs. Their logs show every call to worker and store timing out, on all agents at once, until the soak ended.

Change: a relay reads the sender's address in the first message.

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 import struct
 from dataclasses import dataclass
-from pathlib import Path
 
 from ragwortlug.actor import cancel_all
 
@@ -32,14 +30,33 @@
     delay_s: float | None = None
 
 
+@dataclass(eq=False)
+class Passage:
+    """A connection that passes a relay.
+
+    Attributes
+    ----------
+    source, target : str
+        Who has opened it, empty until that is known, and who listens.
+    writers : tuple
+        The writers to both ends.
+    muted : bool
+        Whether nothing passes any more.
+    """
+
+    source: str
+    target: str
+    writers: tuple
+    muted: bool = False
+
+
 class Links:
     """The state of all connections that pass a relay."""
 
     def __init__(self):
         self._disturbances = []
         self._changed = asyncio.Event()
-        self._open = set()
-        self._muted = set()
+        self.open = set()
 
     def begin(self, disturbance):
         """Let a disturbance begin."""
@@ -53,34 +70,24 @@
 
     def reset(self, applies):
         """Reset the open connections between the places that are concerned."""
-        for source, target, writers in tuple(self._open):
-            if applies(source, target) or applies(target, source):
-                for writer in writers:
+        for each in tuple(self.open):
+            if applies(each.source, each.target) or applies(each.target, each.source):
+                for writer in each.writers:
                     _abort(writer)
 
     def mute(self, applies):
         """Silence open connections for good; new ones work."""
-        for connection in self._open:
-            if applies(*connection[:2]):
-                self._muted.add(connection)
-
-    @contextlib.contextmanager
-    def connection(self, source, target, writers):
-        """Know of a connection while it is open."""
-        entry = (source, target, writers)
-        self._open.add(entry)
-        try:
-            yield entry
-        finally:
-            self._open.discard(entry)
-            self._muted.discard(entry)
+        for each in self.open:
+            each.muted |= applies(each.source, each.target)
 
-    async def cross(self, connection, source, target):
-        """Return when bytes of a connection may go on from one place to another."""
-        while connection in self._muted:
+    async def cross(self, passage, inward):
+        """Return when bytes may go on, to whoever listens or back from there."""
+        while passage.muted:
             await asyncio.sleep(MUTED_CHECK_S)
         while True:
-            mine = [x for x in self._disturbances if x.applies(source, target)]
+            ends = (passage.source, passage.target)
+            ends = ends if inward else ends[::-1]
+            mine = [each for each in self._disturbances if each.applies(*ends)]
             if not any(each.delay_s is None for each in mine):
                 break
             await self._changed.wait()
@@ -98,16 +105,21 @@
         Who listens behind the relay.
     listen, target : tuple
         Host and port of the relay, and of the place.
-    source_of : callable
-        Returns the name and the host of whoever connects from an address.
+    source, host : str
+        Who connects, empty if that shows in the bytes, and the host that the place
+        is to see.
+    recognize : callable, optional
+        Returns who has sent some bytes, or an empty text.
     """
 
-    def __init__(self, links, place, listen, target, source_of):
+    def __init__(self, links, place, listen, target, source, host, recognize=None):
         self._links = links
         self._place = place
         self._listen = listen
         self._target = target
-        self._source_of = source_of
+        self._source = source
+        self._host = host
+        self._recognize = recognize
         self._server = None
         self._serving = set()
 
@@ -129,35 +141,39 @@
     async def _serve(self, reader, writer):
         """Pass the bytes of one connection both ways."""
         try:
-            source, host = self._source_of(writer.get_extra_info("peername"))
             inner_reader, inner = await asyncio.open_connection(
-                *self._target, local_addr=(host, 0)
+                *self._target, local_addr=(self._host, 0)
             )
         except OSError:
             _abort(writer)
             return
-        writers = (writer, inner)
-        with self._links.connection(source, self._place, writers) as connection:
+        passage = Passage(self._source, self._place, (writer, inner))
+        self._links.open.add(passage)
+        try:
             await asyncio.gather(
-                self._pass_on(connection, reader, inner, source, self._place),
-                self._pass_on(connection, inner_reader, writer, self._place, source),
+                self._pass_on(passage, reader, inner, True),
+                self._pass_on(passage, inner_reader, writer, False),
             )
-        for each in (writer, inner):
-            each.close()
+        finally:
+            self._links.open.discard(passage)
+            for each in passage.writers:
+                each.close()
 
-    async def _pass_on(self, connection, reader, writer, source, target):
+    async def _pass_on(self, passage, reader, writer, inward):
         """Pass bytes one way until that way is closed."""
         try:
             while data := await reader.read(CHUNK_BYTES):
-                await self._links.cross(connection, source, target)
+                if inward and not passage.source and self._recognize is not None:
+                    passage.source = self._recognize(data)
+                await self._links.cross(passage, inward)
                 if writer.is_closing():
                     return
                 writer.write(data)
                 await writer.drain()
-            await self._links.cross(connection, source, target)
+            await self._links.cross(passage, inward)
             writer.close()
         except OSError:
-            await self._links.cross(connection, source, target)
+            await self._links.cross(passage, inward)
             _abort(writer)
 
 
@@ -169,37 +185,3 @@
         own = writer.get_extra_info("socket")
         own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
-
-
-def owner_of(address, pids):
-    """Return which of some processes has the local end of a connection, or None.
-
-    Parameters
-    ----------
-    address : tuple
-        Host and port of that end.
-    pids : dict
-        Names by process id.
-    """
-    host, port = address
-    packed = f"{struct.unpack('<I', socket.inet_aton(host))[0]:08X}:{port:04X}"
-    inode = _inode_of(packed, Path("/proc/net/tcp").read_text())
-    wanted = f"socket:[{inode}]"
-    return next((pids[each] for each in pids if _has(each, wanted)), None)
-
-
-def _inode_of(packed, table):
-    """Return the inode of the socket with a local address, or None."""
-    at = table.find(f": {packed} ")
-    return None if at < 0 else table[at : table.find("\n", at)].split()[9]
-
-
-def _has(pid, wanted):
-    """Return whether a process has a descriptor that refers to something."""
-    folder = f"/proc/{pid}/fd"
-    with contextlib.suppress(OSError):
-        for each in os.listdir(folder):
-            with contextlib.suppress(OSError):
-                if os.readlink(f"{folder}/{each}") == wanted:
-                    return True
-    return False
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -3,9 +3,10 @@
 import asyncio
 import json
 import random
+import re
 
 from standins.platform import PlatformStore, PlatformWorker
-from tests.faults.links import Links, Relay, owner_of
+from tests.faults.links import Links, Relay
 from tests.faults.programs import Program
 from tests.faults.witness import Witness
 
@@ -64,6 +65,9 @@
             name: number
             for number, name in enumerate(["store", *self.entries, *self.agents], 1)
         }
+        self._names = {number: name for name, number in self._numbers.items()}
+        told = rf"tcp://{re.escape(self._net)}\.2\.(\d+):{INNER}"
+        self._told_pattern = re.compile(told.encode())
         self.programs = {}
         self._relays = []
         self.version = 1
@@ -91,10 +95,10 @@
         await self.store.start(self.own("store"), STORE)
         await self.configure()
         for name in self.entries:
-            await self._relay(name, name, FRONT, lambda _: ("callers", "127.0.0.1"))
+            await self._relay(name, name, FRONT, "callers", "127.0.0.1")
         for number, name in enumerate([*self.entries, *self.agents]):
-            await self._relay(name, name, INNER, self._source)
-            await self._relay(name, "store", STORE, self._always(name))
+            await self._relay(name, name, INNER, "", "127.0.0.1")
+            await self._relay(name, "store", STORE, name, self.own(name))
             await self._launch(name, ZONES[number % len(ZONES)])
         for number, name in enumerate(self.agents):
             await self._add_worker(name, ZONES[number % len(ZONES)])
@@ -130,25 +134,15 @@
         body = {"version": self.version, "routes": routes, "services": []}
         await self.store.put("op/config", json.dumps(body).encode())
 
-    def pids(self):
-        """Return the names of the processes that run, by id."""
-        return {each.pid: name for name, each in self.programs.items() if each.pid}
+    def _recognize(self, data):
+        """Return which process has sent a message, by the address that it tells."""
+        found = self._told_pattern.search(data)
+        return "" if found is None else self._names[int(found[1])]
 
-    def _source(self, address):
-        """Return the name and the host of the process that connects."""
-        name = owner_of(address, self.pids())
-        if name is None:
-            raise ConnectionAbortedError(f"{address} is of no process that runs")
-        return name, self.own(name)
-
-    def _always(self, name):
-        """Return what tells that whoever connects is a process."""
-        return lambda _: (name, self.own(name))
-
-    async def _relay(self, name, place, port, source_of):
+    async def _relay(self, name, place, port, source, host):
         """Start a relay at a process's told address, to a port of a place."""
         listen, target = (self.told(name), port), (self.own(place), port)
-        relay = Relay(self.links, place, listen, target, source_of)
+        relay = Relay(self.links, place, listen, target, source, host, self._recognize)
         self._relays.append(relay)
         await relay.start()
 
@@ -183,7 +177,7 @@
         place = f"worker of {name}"
         address = (self.told(name), APP)
         target = (self.own(name), APP)
-        relay = Relay(self.links, place, address, target, self._always(name))
+        relay = Relay(self.links, place, address, target, name, self.own(name))
         self._relays.append(relay)
         await relay.start()
         await worker.start(self.own(name), APP, f"{self.told(name)}:{APP}")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,7 +7,9 @@
 from tests.faults.__main__ import play
 
 # Seeds that failed once stay here, each with a line on its cause.
-SEEDS = (2,)
+# 107: after all was killed nobody was served for minutes; the soak looked up in /proc
+# who connects, which cost more with each connection that timed out.
+SEEDS = (2, 107)
 
 
 class TestSoak:
