--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -30,6 +30,8 @@
     lease_ms=2700,
     call_ms=300,
 )
+# When a caller asks again: three times the users' 1.3 s, like the times above.
+RETRY_S = 3.9
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -81,6 +83,7 @@
         self.entries = [None, None]
         self.agents = [None, None]
         self.workers = []
+        self.overlaps = []
         self._kernels = []
         self._journals = []
 
@@ -92,7 +95,7 @@
             await self.start_entry(index)
         for index, (_, http) in enumerate(self._agent_ports):
             url = f"http://{HOST}:{http}"
-            worker = PlatformWorker(SERVICE, "patan", url)
+            worker = PlatformWorker(SERVICE, "patan", url, observe=self._observe)
             self.workers.append(worker)
             await worker.start(HOST, self._worker_ports[index])
             await self.start_agent(index)
@@ -200,6 +203,14 @@
         """Return where a worker reports."""
         return f"http://{HOST}:{self._agent_ports[agent][1]}/api/instances/i-9"
 
+    def _observe(self, worker, how, order):
+        """Take note of a task that starts while another run of it is alive."""
+        if how == "start":
+            task = order["task"]
+            runs = [run for each in self.workers for run in each.running]
+            if [each for each, _ in runs].count(task) > 1:
+                self.overlaps.append((worker.id, task))
+
     def started(self):
         """Return all starts on all workers."""
         return [each for worker in self.workers for each in worker.starts]
@@ -302,6 +313,20 @@
 
         on_site(scenario)
 
+    def test_the_same_id_at_another_entry_never_runs_twice_at_once(self, on_site):
+        async def scenario(site):
+            job = asyncio.create_task(site.submit(JOB, "4.0", 2, deadline_ms=60_000))
+            await site.until(lambda: len(site.started()) == 2)
+            await site.kill(site.entries[0])
+            await asyncio.gather(job, return_exceptions=True)
+            await asyncio.sleep(RETRY_S)
+            again = await site.submit(JOB, "4.0", 2, entry=1, deadline_ms=60_000)
+            assert again == (200, {"state": "completed"})
+            assert len(site.started()) == 4
+            assert not site.overlaps
+
+        on_site(scenario)
+
     def test_a_caller_that_leaves_ends_its_job(self, on_site):
         async def scenario(site):
             job = asyncio.create_task(site.submit(JOB, "30.0", 2, deadline_ms=60_000))
