Leave readers of the soak's logs stalled; count only requests that were read as cut

By the logs, the entry that is named was not running when they were sent (stopped 65.17, started 70.13, sent 68.0): the relay took the connection and could not pass it on, and the soak's process was 661 ms late, so that the refusal looked like a cut after 0.2 s.

Ruled out: stalled output; the same faults without it, and again with it, cut nothing.

Change: a relay notes each connection that the program refuses, and each such note excuses one attempt: the rule is about requests that a process has read.

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -56,8 +56,22 @@
     def __init__(self):
         self._disturbances = []
         self._changed = asyncio.Event()
+        self._refusals = {}
         self.open = set()
 
+    def refuse(self, source, target):
+        """Take note that a place took no connection."""
+        now = asyncio.get_running_loop().time()
+        self._refusals.setdefault((source, target), []).append(now)
+
+    def take_refusal(self, source, target, since):
+        """Return whether a connection was refused since a moment; each counts once."""
+        times = self._refusals.get((source, target), [])
+        found = next((each for each in times if each >= since), None)
+        if found is not None:
+            times.remove(found)
+        return found is not None
+
     def begin(self, disturbance):
         """Let a disturbance begin."""
         self._disturbances.append(disturbance)
@@ -145,6 +159,7 @@
                 *self._target, local_addr=(self._host, 0)
             )
         except OSError:
+            self._links.refuse(self._source, self._place)
             _abort(writer)
             return
         passage = Passage(self._source, self._place, (writer, inner))
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -90,6 +90,18 @@
         site.programs[name].signal(signal.SIGHUP)
 
 
+async def stall_output(site, _callers, rng, for_s):
+    """Let nobody read the output of some processes; that disturbs nothing."""
+    programs = [
+        site.programs[each] for each in rng.sample([*site.entries, *site.agents], 4)
+    ]
+    for program in programs:
+        program.reading.clear()
+    await asyncio.sleep(2.0 * for_s)
+    for program in programs:
+        program.reading.set()
+
+
 # Connections.
 
 
@@ -294,6 +306,7 @@
     pause,
     pause,
     reload,
+    stall_output,
     isolate,
     cut_one_way,
     bridge_cut,
