--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -131,7 +131,7 @@
         for connection in self._connections.values():
             connection.close(LINGER_MS)
         if self._router is not None:
-            self._router.close()
+            self._router.close(LINGER_MS)
         self._context.term()
 
     async def _receive(self, socket, take):
@@ -185,7 +185,10 @@
         """Tell a sender of foreign bytes the numbered error."""
         self._count_rejected(error)
         body = Rejected(int(error.code), error.detail)
-        self._write(self._router, [identity, encode(Envelope(self._own, "", body))])
+        data = encode(Envelope(self._own, "", body))
+        unsent = self._write(self._router, [identity, data])
+        if unsent is not None:
+            log.debug("Could not answer foreign bytes: {}.", unsent)
 
     def _count_rejected(self, error):
         """Take note of bytes that are no message."""
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -70,7 +70,7 @@
         self._orders = Orders()
         self._requests = RoomRequests(self._workers)
         self._entries = ()
-        self._stirred = True
+        self._placing_due = True
 
     @property
     def open_jobs(self):
@@ -141,7 +141,7 @@
         self._records[job.id] = record
         facts = self._job_facts(record, chain_ms, now)
         accepted = Event(EventName.JOB_ACCEPTED, job.id, facts)
-        self._stirred = True
+        self._placing_due = True
         return [accepted, *self._dispatch(now)]
 
     def cancel(self, request, job_id, now):
@@ -153,7 +153,7 @@
         if record.requests:
             return []
         abandoned = events.job_abandoned(record, now)
-        self._stirred = True
+        self._placing_due = True
         return [abandoned, *self._drop(record), *self._dispatch(now)]
 
     def delete(self, job_id, now):
@@ -161,7 +161,7 @@
         record = self._records.get(job_id)
         if record is None:
             return None
-        self._stirred = True
+        self._placing_due = True
         return self._settle(record, Code.CANCELLED, now) + self._dispatch(now)
 
     # Messages of agents.
@@ -173,7 +173,7 @@
         room = None if known is None else known.free
         worker = self._workers.renewal(sender, message, now)
         if not before or room is None or not room.holds(worker.free):
-            self._stirred = True
+            self._placing_due = True
         effects = [Send(sender, Renewed(message.stamp_ms, self._entries))]
         effects += events.worker_heard(worker, before)
         if message.worker is None or not message.worker.accepting:
@@ -192,7 +192,7 @@
         if worker is not None:
             worker.heard_at = now
             worker.reported_free(message.free, now)
-        self._stirred = True
+        self._placing_due = True
         return effects + self._dispatch(now)
 
     def offer(self, sender, message, now):
@@ -262,7 +262,7 @@
         self._orders = orders
         self._workers.evacuated = frozenset(orders.evacuated)
         applied = events.orders_applied(orders, self.version)
-        self._stirred = True
+        self._placing_due = True
         return [applied, *self._dispatch(now)]
 
     def entries_known(self, entries):
@@ -279,7 +279,7 @@
             check(Invariant.ONE_RUN, not worker.out, out=worker.out)
         for record in tuple(self._records.values()):
             effects += self._check_deadline(record, now)
-        self._stirred = True
+        self._placing_due = True
         return effects + self._dispatch(now)
 
     # Decisions.
@@ -440,9 +440,9 @@
 
         Nothing is looked at unless a task, room or time has come since the last call.
         """
-        if not self._stirred:
+        if not self._placing_due:
             return []
-        self._stirred = False
+        self._placing_due = False
         services = {each.queue.service for each in self._records.values()}
         runs = {}
         effects = []
--- a/ragwortlug/telemetry/metrics.py
+++ b/ragwortlug/telemetry/metrics.py
@@ -9,7 +9,8 @@
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
-QUANTILES = (50.0, 99.0, 99.9)
+QUANTILES = (0.5, 0.99, 0.999)
+PERCENT = 100.0
 US_PER_S = 1_000_000
 PREFIX = "ragwortlug"
 
@@ -69,8 +70,8 @@
     full_name = f"{PREFIX}_{name}_seconds"
     family = Metric(full_name, f"Duration of {name}.", "summary")
     for quantile in QUANTILES:
-        value = histogram.get_value_at_percentile(quantile) / US_PER_S
-        family.add_sample(full_name, {"quantile": str(quantile / 100)}, value)
+        value = histogram.get_value_at_percentile(quantile * PERCENT) / US_PER_S
+        family.add_sample(full_name, {"quantile": str(quantile)}, value)
     total = histogram.get_total_count()
     family.add_sample(f"{full_name}_count", {}, total)
     mean_us = histogram.get_mean_value() if total else 0
