--- a/ragwortlug/telemetry/journal.py
+++ b/ragwortlug/telemetry/journal.py
@@ -5,6 +5,7 @@
 out is counted, and told in a line of its own.
 """
 
+import contextlib
 import queue
 import sys
 import threading
@@ -21,6 +22,8 @@
 BURST_S = 2.0
 REPORT_EVERY_S = 5.0
 CLOSE_WAIT_S = 0.3
+# Lines of that long are written at once: a wake-up for each costs more than the line.
+WRITE_EVERY_S = 0.05
 
 _encoder = msgspec.json.Encoder()
 
@@ -62,6 +65,7 @@
         self._buckets = {}
         self._left_out = Counter()
         self._reported_at = 0.0
+        self._closing = threading.Event()
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._thread.start()
 
@@ -107,6 +111,7 @@
         """Write what waits, within a short time."""
         if self._left_out:
             self._report(time.monotonic())
+        self._closing.set()
         self._put(None, "close")
         self._thread.join(CLOSE_WAIT_S)
 
@@ -137,20 +142,18 @@
             self._left_out[name] += 1
 
     def _write(self):
-        """Write lines as they come; end after a None."""
+        """Write lines in batches; end after a None."""
         while True:
-            line = self._lines.get()
-            lines = []
-            while line is not None:
-                lines.append(line)
-                try:
-                    line = self._lines.get_nowait()
-                except queue.Empty:
-                    break
+            lines = [self._lines.get()]
+            self._closing.wait(WRITE_EVERY_S)
+            with contextlib.suppress(queue.Empty):
+                while lines[-1] is not None:
+                    lines.append(self._lines.get_nowait())
+            ended = lines[-1] is None
             try:
-                self._stream.write(b"".join(lines))
+                self._stream.write(b"".join(lines[:-1] if ended else lines))
                 self._stream.flush()
             except (OSError, ValueError):
                 return
-            if line is None:
+            if ended:
                 return
