--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -130,7 +130,7 @@
 
     permission_ms: Count = 900
     orphan_ms: Count = 1000
-    renew_ms: Count = 200
+    renew_ms: Count = 150
     idle_renew_ms: Count = 250
     suspect_ms: Count = 450
     stop_ahead_ms: Count = 200
