--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -27,6 +27,7 @@
 SILENCE_MS = 1500
 CONNECT_MS = 500
 LINGER_MS = 200
+CLOSE_AFTER_S = 0.01
 # A connection on which nothing came for that long is not used for answers.
 ANSWER_S = 1.0
 
@@ -51,9 +52,14 @@
     used_at: float
     reader: asyncio.Task
 
-    def close(self, linger_ms=0):
-        """Close the connection."""
-        self.reader.cancel()
+    async def close(self, linger_ms=0):
+        """Close the connection.
+
+        The library may still look at a socket that it has been told to look at, which
+        must not be gone by then.
+        """
+        await cancel_all([self.reader])
+        await asyncio.sleep(CLOSE_AFTER_S)
         self.socket.close(linger_ms)
 
 
@@ -84,6 +90,7 @@
         self._router = None
         self._connections = {}
         self._inbound = {}
+        self._closing = set()
         self._tasks = []
 
     @property
@@ -106,11 +113,12 @@
             self.send(effect.to, effect.body)
 
     def reconnect(self, address):
-        """Open a new connection to an address with the next message to it."""
-        connection = self._connections.pop(address, None)
+        """Give up the connection to an address, and what waits in it, for a new one."""
+        connection = self._connections.get(address)
         if connection is not None:
             self._metrics.count("reconnections")
-            connection.close()
+            connection.socket.disconnect(address)
+            connection.socket.connect(address)
 
     async def start(self):
         """Bind the socket and begin to serve."""
@@ -128,8 +136,8 @@
     async def stop(self):
         """Close all sockets."""
         await cancel_all(self._tasks)
-        for connection in self._connections.values():
-            connection.close(LINGER_MS)
+        closing = [each.close(LINGER_MS) for each in self._connections.values()]
+        await asyncio.gather(*closing, *self._closing)
         if self._router is not None:
             self._router.close(LINGER_MS)
         self._context.term()
@@ -272,8 +280,10 @@
         now = self._timer.monotonic()
         for address, connection in tuple(self._connections.items()):
             if now - connection.used_at > IDLE_S:
-                connection.close()
                 del self._connections[address]
+                closing = asyncio.create_task(connection.close())
+                self._closing.add(closing)
+                closing.add_done_callback(self._closing.discard)
         for name, (_, heard_at) in tuple(self._inbound.items()):
             if now - heard_at > IDLE_S:
                 del self._inbound[name]
