Name the soak's ports once

The settings template of the soak repeated the ports that are constants beside it, and READY was read by nothing.

--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -21,15 +21,15 @@
 internal_port_range = [{inner}, {inner}]
 seed_nodes = {seeds}
 [listen_addrs]
-front = "{own}:8161"
-ready = "{own}:8167"
-control = "{own}:8166"
+front = "{own}:{front}"
+ready = "{own}:{ready}"
+control = "{own}:{control}"
 [bounds]
 grace_s = 6
 retransmit_ms = 1300
 max_hold_ms = 1000
 [platform]
-address = "{store}:8169"
+address = "{store}:{store_port}"
 """
 
 
@@ -156,6 +156,10 @@
                 told=self.told(name),
                 zone=zone,
                 inner=INNER,
+                front=FRONT,
+                ready=READY,
+                control=CONTROL,
+                store_port=STORE,
                 seeds=json.dumps(seeds),
                 store=self.told(name),
             )
