--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import asyncio
 import sys
 
-from bench import control, dispatch, force, path, scenarios, slopes
+from bench import control, dispatch, force, path, processes, scenarios, slopes
 
 
 async def _slopes(_parsed):
@@ -21,6 +21,7 @@
     await force.measure()
     await path.measure(parsed.seed)
     await control.measure()
+    await processes.measure(seed=parsed.seed)
     await scenarios.measure(parsed.seed)
 
 
@@ -48,6 +49,15 @@
             given.seed, given.deployment, given.scenario
         )
     )
+    command = commands.add_parser("processes", help=processes.__doc__)
+    command.add_argument("--entries", type=int, default=2)
+    command.add_argument("--agents", type=int, default=8)
+    command.add_argument("--seed", type=int, default=1)
+    command.set_defaults(
+        run=lambda given: processes.measure(
+            given.entries, given.agents, seed=given.seed
+        )
+    )
     command = commands.add_parser("all", help="every benchmark")
     command.add_argument("--seed", type=int, default=1)
     command.set_defaults(run=_all)
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -6,6 +6,7 @@
 import re
 
 from standins.platform import PlatformStore, PlatformWorker
+from standins.platform_settings import CONTROL, FRONT, INNER, settings_text
 from tests.faults.links import Links, Relay
 from tests.faults.programs import Program
 from tests.faults.witness import Witness
@@ -13,24 +14,8 @@
 SERVICE = "carving"
 ZONES = ("patan", "bhaktapur", "kirtipur")
 HOST_NAME = "a.example"
-INNER, FRONT, READY, CONTROL, APP, STORE = 7720, 8161, 8167, 8166, 8080, 8169
+APP, STORE = 8080, 8169
 MAX_ATTEMPTS = 3
-SETTINGS = """
-ip = "{told}"
-zone = "{zone}"
-internal_port_range = [{inner}, {inner}]
-seed_nodes = {seeds}
-[listen_addrs]
-front = "{own}:{front}"
-ready = "{own}:{ready}"
-control = "{own}:{control}"
-[bounds]
-grace_s = 6
-retransmit_ms = 1300
-max_hold_ms = 1000
-[platform]
-address = "{store}:{store_port}"
-"""
 
 
 class NamedWorker(PlatformWorker):
@@ -148,20 +133,14 @@
 
     async def _launch(self, name, zone):
         """Start a program."""
-        seeds = [f"{self.told(each)}:{CONTROL}" for each in self.entries]
         settings = self._folder / f"{name}.toml"
         settings.write_text(
-            SETTINGS.format(
+            settings_text(
                 own=self.own(name),
                 told=self.told(name),
                 zone=zone,
-                inner=INNER,
-                front=FRONT,
-                ready=READY,
-                control=CONTROL,
-                store_port=STORE,
-                seeds=json.dumps(seeds),
-                store=self.told(name),
+                seeds=[self.told(each) for each in self.entries],
+                store=f"{self.told(name)}:{STORE}",
             )
         )
         listen = f"tcp://{self.own(name)}:{INNER}"
