Read message sockets in the event loop instead of through zmq.asyncio

Cause: a message took two futures, a task's turn and the library's own event handling in Python; and its look at a socket that was closed meanwhile is the suspect of the ends with code 139. Ruled out: the threads (the I/O thread takes a tenth of the main one). Change: plain sockets whose descriptor the event loop watches; what has come is asked for after each write, since a write may take the library's word of it, and a descriptor is given back before its socket is closed.

--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -11,9 +11,7 @@
 from dataclasses import dataclass
 
 import zmq
-import zmq.asyncio
 
-from ragwortlug.actor import cancel_all
 from ragwortlug.codes import Code
 from ragwortlug.errors import MessageError
 from ragwortlug.messages import Envelope, Rejected, decode, encode
@@ -27,40 +25,101 @@
 SILENCE_MS = 1500
 CONNECT_MS = 500
 LINGER_MS = 200
-CLOSE_AFTER_S = 0.01
+# A plain number, since the library's flags cost more than the question itself.
+READABLE = int(zmq.POLLIN)
 # A connection on which nothing came for that long is not used for answers.
 ANSWER_S = 1.0
 
 log = logger("peers")
 
 
+class Channel:
+    """A message socket in the event loop.
+
+    The library's file descriptor tells only that something has changed, once, and any
+    call on the socket may take that word. So whatever has come is looked for after
+    each write too.
+
+    Parameters
+    ----------
+    socket : zmq.Socket
+        Owned by the channel.
+    take : callable
+        Is called with the frames of each message that comes.
+    """
+
+    def __init__(self, socket, take):
+        self._socket = socket
+        self._take = take
+        self._loop = asyncio.get_running_loop()
+        self._descriptor = socket.getsockopt(zmq.FD)
+        self._reading_due = False
+        self._loop.add_reader(self._descriptor, self._read)
+        self._read_soon()
+
+    @property
+    def closed(self):
+        """Return whether the channel is closed."""
+        return self._socket.closed
+
+    def write(self, frames):
+        """Send a message now or never; return whether the library took it."""
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            log.debug("A message was not sent: {}.", error)
+            return False
+        finally:
+            if self._readable():
+                self._read_soon()
+        return True
+
+    def reconnect(self, address):
+        """Give up the connection, and what waits in it, for a new one."""
+        self._socket.disconnect(address)
+        self._socket.connect(address)
+        self._read_soon()
+
+    def close(self, linger_ms=0):
+        """Close the socket; nothing is read any more."""
+        if not self.closed:
+            self._loop.remove_reader(self._descriptor)
+            self._socket.close(linger_ms)
+
+    def _readable(self):
+        """Return whether a message has come."""
+        return bool(self._socket.getsockopt(zmq.EVENTS) & READABLE)
+
+    def _read_soon(self):
+        """Look for messages in the loop's next turn."""
+        if not self._reading_due:
+            self._reading_due = True
+            self._loop.call_soon(self._read)
+
+    def _read(self):
+        """Take what has come, a burst at most before others have their turn."""
+        self._reading_due = False
+        for _ in range(BURST):
+            if self.closed or not self._readable():
+                return
+            self._take(self._socket.recv_multipart(zmq.NOBLOCK))
+        self._read_soon()
+
+
 @dataclass(slots=True)
 class Connection:
     """A connection that this process has opened.
 
     Attributes
     ----------
-    socket : zmq.asyncio.Socket
+    channel : Channel
         Sends, and takes the answers.
     used_at : float
         Monotonic seconds of the latest message sent.
-    reader : asyncio.Task
-        Takes the answers.
     """
 
-    socket: zmq.asyncio.Socket
+    channel: Channel
     used_at: float
-    reader: asyncio.Task
-
-    async def close(self, linger_ms=0):
-        """Close the connection.
-
-        The library may still look at a socket that it has been told to look at, which
-        must not be gone by then.
-        """
-        await cancel_all([self.reader])
-        await asyncio.sleep(CLOSE_AFTER_S)
-        self.socket.close(linger_ms)
 
 
 class Peers:
@@ -85,13 +144,11 @@
         self._metrics = metrics
         self._handlers = {}
         self._outbox = deque()
-        self._wake = asyncio.Event()
+        self._sending_due = False
         self._context = zmq.Context()
         self._router = None
         self._connections = {}
         self._inbound = {}
-        self._closing = set()
-        self._tasks = []
 
     @property
     def own(self):
@@ -105,7 +162,9 @@
     def send(self, to, body):
         """Send a message; one to this process itself takes no socket."""
         self._outbox.append((to, body))
-        self._wake.set()
+        if not self._sending_due:
+            self._sending_due = True
+            asyncio.get_running_loop().call_soon(self._transmit)
 
     def send_all(self, effects):
         """Send each of some `Send` effects."""
@@ -117,44 +176,27 @@
         connection = self._connections.get(address)
         if connection is not None:
             self._metrics.count("reconnections")
-            connection.socket.disconnect(address)
-            connection.socket.connect(address)
+            connection.channel.reconnect(address)
 
     async def start(self):
         """Bind the socket and begin to serve."""
-        self._router = zmq.asyncio.Socket(self._context, zmq.ROUTER)
-        self._router.setsockopt(zmq.LINGER, 0)
-        self._router.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES)
-        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        self._router.bind(self._listen)
-        self._tasks = [
-            asyncio.create_task(self._receive(self._router, self._take_inbound)),
-            asyncio.create_task(self._transmit()),
-        ]
+        socket = self._context.socket(zmq.ROUTER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.bind(self._listen)
+        self._router = Channel(socket, self._take_inbound)
         self._timer.every(IDLE_S / 4, self._close_idle)
 
     async def stop(self):
         """Close all sockets."""
-        await cancel_all(self._tasks)
-        closing = [each.close(LINGER_MS) for each in self._connections.values()]
-        await asyncio.gather(*closing, *self._closing)
+        self._transmit()
+        for connection in self._connections.values():
+            connection.channel.close(LINGER_MS)
         if self._router is not None:
             self._router.close(LINGER_MS)
         self._context.term()
 
-    async def _receive(self, socket, take):
-        """Take a socket's messages in bursts."""
-        burst = zmq.Socket.shadow(socket.underlying)
-        while True:
-            take(await socket.recv_multipart())
-            for _ in range(BURST):
-                try:
-                    frames = burst.recv_multipart(zmq.NOBLOCK)
-                except zmq.Again:
-                    break
-                take(frames)
-            await asyncio.sleep(0)
-
     def _take_inbound(self, frames):
         """Take one message that came on another process's connection."""
         if len(frames) != 2:
@@ -194,9 +236,7 @@
         self._count_rejected(error)
         body = Rejected(int(error.code), error.detail)
         data = encode(Envelope(self._own, "", body))
-        unsent = self._write(self._router, [identity, data])
-        if unsent is not None:
-            log.debug("Could not answer foreign bytes: {}.", unsent)
+        self._router.write([identity, data])
 
     def _count_rejected(self, error):
         """Take note of bytes that are no message."""
@@ -215,18 +255,16 @@
             self._metrics.count("handler_errors", type(body).__name__)
             log.exception("A {} could not be handled.", type(body).__name__)
 
-    async def _transmit(self):
+    def _transmit(self):
         """Send what is in the outbox."""
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._outbox:
-                to, body = self._outbox.popleft()
-                if to.address == self._own.address:
-                    if to.incarnation in ("", self._own.incarnation):
-                        self._deliver(self._own, body)
-                else:
-                    self._transmit_one(to, body)
+        self._sending_due = False
+        while self._outbox:
+            to, body = self._outbox.popleft()
+            if to.address == self._own.address:
+                if to.incarnation in ("", self._own.incarnation):
+                    self._deliver(self._own, body)
+            else:
+                self._transmit_one(to, body)
 
     def _transmit_one(self, to, body):
         """Write one message to its peer's connection."""
@@ -234,20 +272,15 @@
         data = encode(Envelope(self._own, to.incarnation, body))
         identity = self._answerable(to)
         if identity is not None:
-            error = self._write(self._router, [identity, data])
+            sent = self._router.write([identity, data])
         else:
-            error = self._write(self._connection(to.address).socket, [data])
-        if error is not None:
+            sent = self._connection(to.address).channel.write([data])
+        if not sent:
             self._metrics.count("messages_unsent", kind)
-            log.debug("A {} to {} was not sent: {}.", kind, to.address, error)
             return
         self._metrics.count("messages_sent", kind)
         self._metrics.count("message_bytes_sent", kind, len(data))
 
-    def _write(self, socket, frames):
-        """Write frames at once; return the error if they can't be."""
-        return socket.send_multipart(frames, zmq.NOBLOCK).exception()
-
     def _answerable(self, to):
         """Return by which identity a peer is answered on its connection, or None."""
         if to.address in self._connections:
@@ -261,7 +294,7 @@
         now = self._timer.monotonic()
         connection = self._connections.get(address)
         if connection is None:
-            socket = zmq.asyncio.Socket(self._context, zmq.DEALER)
+            socket = self._context.socket(zmq.DEALER)
             socket.setsockopt(zmq.LINGER, 0)
             socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
             socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
@@ -269,8 +302,7 @@
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
             socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MS)
             socket.connect(address)
-            reader = asyncio.create_task(self._receive(socket, self._take_answer))
-            connection = Connection(socket, now, reader)
+            connection = Connection(Channel(socket, self._take_answer), now)
             self._connections[address] = connection
         connection.used_at = now
         return connection
@@ -281,9 +313,7 @@
         for address, connection in tuple(self._connections.items()):
             if now - connection.used_at > IDLE_S:
                 del self._connections[address]
-                closing = asyncio.create_task(connection.close())
-                self._closing.add(closing)
-                closing.add_done_callback(self._closing.discard)
+                connection.channel.close()
         for name, (_, heard_at) in tuple(self._inbound.items()):
             if now - heard_at > IDLE_S:
                 del self._inbound[name]
