--- a/ragwortlug/telemetry/journal.py
+++ b/ragwortlug/telemetry/journal.py
@@ -1,16 +1,14 @@
 """The journal: events and log lines as JSON on standard output.
 
-Writing never blocks the event loop and its volume is bounded: lines wait in a
-bounded queue for a thread, and each event name has a token bucket. What is left
-out is counted, and told in a line of its own.
+Writing never blocks the event loop and its volume is bounded: a bounded number of
+lines waits for a thread that writes them in batches, and each event name has a token
+bucket. What is left out is counted, and told in a line of its own.
 """
 
-import contextlib
-import queue
 import sys
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 
 import msgspec
 
@@ -23,7 +21,7 @@
 REPORT_EVERY_S = 5.0
 CLOSE_WAIT_S = 0.3
 # Lines of that long are written at once: a wake-up for each costs more than the line.
-WRITE_EVERY_S = 0.05
+WRITE_EVERY_S = 0.1
 
 _encoder = msgspec.json.Encoder()
 
@@ -61,10 +59,11 @@
     def __init__(self, process, stream=None):
         self._process = process
         self._stream = sys.stdout.buffer if stream is None else stream
-        self._lines = queue.Queue(QUEUED_LINES)
+        self._lines = deque()
         self._buckets = {}
         self._left_out = Counter()
         self._reported_at = 0.0
+        self._filled = threading.Event()
         self._closing = threading.Event()
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._thread.start()
@@ -77,7 +76,7 @@
     @property
     def waiting(self):
         """Return the number of lines that are not written yet."""
-        return self._lines.qsize()
+        return len(self._lines)
 
     def emit(self, event):
         """Write an event, unless there are too many of its name."""
@@ -112,7 +111,7 @@
         if self._left_out:
             self._report(time.monotonic())
         self._closing.set()
-        self._put(None, "close")
+        self._filled.set()
         self._thread.join(CLOSE_WAIT_S)
 
     def _line(self, event):
@@ -136,24 +135,23 @@
 
     def _put(self, line, name):
         """Queue a line, or count it as left out."""
-        try:
-            self._lines.put_nowait(line)
-        except queue.Full:
+        if len(self._lines) >= QUEUED_LINES:
             self._left_out[name] += 1
+            return
+        self._lines.append(line)
+        if not self._filled.is_set():
+            self._filled.set()
 
     def _write(self):
-        """Write lines in batches; end after a None."""
-        while True:
-            lines = [self._lines.get()]
+        """Write lines in batches until the journal is closed and none is left."""
+        while not self._closing.is_set() or self._lines:
+            self._filled.wait()
             self._closing.wait(WRITE_EVERY_S)
-            with contextlib.suppress(queue.Empty):
-                while lines[-1] is not None:
-                    lines.append(self._lines.get_nowait())
-            ended = lines[-1] is None
+            # Cleared before the lines are taken, so that a later one sets it again.
+            self._filled.clear()
+            lines = [self._lines.popleft() for _ in range(len(self._lines))]
             try:
-                self._stream.write(b"".join(lines[:-1] if ended else lines))
+                self._stream.write(b"".join(lines))
                 self._stream.flush()
             except (OSError, ValueError):
                 return
-            if ended:
-                return
--- a/ragwortlug/timer.py
+++ b/ragwortlug/timer.py
@@ -3,9 +3,12 @@
 import asyncio
 import time
 
-import reactivex
 from reactivex.disposable import CompositeDisposable
-from reactivex.scheduler.eventloop import AsyncIOScheduler
+from reactivex.subject import Subject
+
+from ragwortlug.telemetry.logs import logger
+
+log = logger("timer")
 
 
 class Timer:
@@ -34,9 +37,26 @@
         action : callable
             Must not block.
         """
-        scheduler = AsyncIOScheduler(asyncio.get_running_loop())
-        ticks = reactivex.interval(period_s, scheduler=scheduler)
-        self._subscriptions.add(ticks.subscribe(lambda _: action()))
+        loop = asyncio.get_running_loop()
+        ticks = Subject()
+        self._subscriptions.add(ticks)
+        ticks.subscribe(lambda _: self._act(action))
+
+        def tick(number):
+            if ticks.is_disposed:
+                return
+            loop.call_later(period_s, tick, number + 1)
+            ticks.on_next(number)
+
+        loop.call_later(period_s, tick, 0)
+
+    @staticmethod
+    def _act(action):
+        """Call an action; one that fails is called again all the same."""
+        try:
+            action()
+        except Exception:
+            log.exception("A periodic action failed.")
 
     async def stop(self):
         """End all subscriptions."""
