--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -14,10 +14,10 @@
 
 TICK_S = 0.05
 MS_PER_S = 1000.0
-# The histogram and the fact, in milliseconds, of each event that tells a duration.
+# The histogram and the fact, in milliseconds, of each event that tells durations.
 DURATIONS = {
-    EventName.RUN_ORDERED: ("run_waited", "waited_ms"),
-    EventName.RUN_ENDED: ("run", "run_ms"),
+    EventName.RUNS_ORDERED: ("run_waited", "waited_ms"),
+    EventName.JOB_DONE: ("run", "run_ms"),
     EventName.JOB_REFUSED: ("refusal", "elapsed_ms"),
 }
 
@@ -160,7 +160,9 @@
         duration = DURATIONS.get(event.name)
         if duration is not None:
             name, fact = duration
-            self._metrics.time(name, event.facts[fact] / MS_PER_S)
+            told = event.facts[fact]
+            for each in told if isinstance(told, list) else (told,):
+                self._metrics.time(name, each / MS_PER_S)
 
     def _settle(self, settled: JobSettled):
         """Give a request its answer."""
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -35,8 +35,7 @@
     JOB_GIVEN_UP = "job_given_up", "A job was begun and does not end in time."
     JOB_ABANDONED = "job_abandoned", "Nobody waits for a job any more."
 
-    RUN_ORDERED = "run_ordered", "A task is sent to an agent."
-    RUN_ENDED = "run_ended", "A run has ended well."
+    RUNS_ORDERED = "runs_ordered", "Tasks of a job are sent to agents."
     RUN_FAILED = "run_failed", "A run has ended in any other way."
     RUN_MOVED = "run_moved", "A late run is stopped, to be tried elsewhere."
     RUN_REFUSED = "run_refused", "An agent does not start a run."
@@ -68,8 +67,7 @@
     EventName.REQUEST_ANSWERED,
     EventName.JOB_ACCEPTED,
     EventName.JOB_DONE,
-    EventName.RUN_ORDERED,
-    EventName.RUN_ENDED,
+    EventName.RUNS_ORDERED,
 }
 
 
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -49,26 +49,42 @@
         "limit_ms": whole_ms(record.deadline - record.arrived),
         "starts": sum(task.attempt for task in record.tasks),
         "failures": sum(task.failures for task in record.tasks),
+        "run_ms": [task.run_ms for task in record.tasks],
     }
     return Event(_settled_name(code), record.job.id, facts)
 
 
-def run_ordered(record, task, worker, now):
-    """Return the event of an order, with the age of what is known of the agent."""
-    facts = _run_facts(task, worker) | {
-        "waited_ms": whole_ms(now - record.arrived),
-        "expected_ms": round(task.expected_ms * worker.ratio),
-        "free_mc": worker.free.cpu,
-        "heard_ms": whole_ms(now - worker.heard_at),
-    }
-    return Event(EventName.RUN_ORDERED, record.job.id, facts)
-
+def runs_ordered(record, orders, now):
+    """Return the event of a decision to order runs of one job.
 
-def run_ended(record, task, worker, end, run_ms):
-    """Return the event of a run's end."""
+    Parameters
+    ----------
+    orders : sequence of tuple
+        Task and worker of each run.
+
+    Notes
+    -----
+    Each of the told orders tells the task, its attempt, the number of the order, the
+    agent, the run time expected there, and what was known of the agent: its free
+    millicores after the order, and the age of its latest word.
+    """
+    told = [
+        {
+            **_run_facts(task, worker),
+            "expected_ms": round(task.expected_ms * worker.ratio),
+            "free_mc": worker.free.cpu,
+            "heard_ms": whole_ms(now - worker.heard_at),
+        }
+        for task, worker in orders
+    ]
+    facts = {"waited_ms": whole_ms(now - record.arrived), "orders": told}
+    return Event(EventName.RUNS_ORDERED, record.job.id, facts)
+
+
+def run_failed(record, task, worker, end, run_ms):
+    """Return the event of a run's end, if it has not ended well."""
     facts = _run_facts(task, worker) | {"end": end.value, "run_ms": round(run_ms)}
-    name = EventName.RUN_ENDED if end.value == "done" else EventName.RUN_FAILED
-    return Event(name, record.job.id, facts)
+    return Event(EventName.RUN_FAILED, record.job.id, facts)
 
 
 def run_moved(record, task, worker, run_ms, rest_ms):
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -63,6 +63,8 @@
     def __init__(self, settings, rng):
         self._settings = settings
         self._records = {}
+        # Jobs with tasks that wait, by service and id.
+        self._waiting = {}
         self._out = {}
         self._leftovers = set()
         self._next_number = 0
@@ -140,6 +142,7 @@
             ]
         record.requests.add(request)
         self._records[job.id] = record
+        self._queue_up(record)
         facts = self._job_facts(record, chain_ms, now)
         accepted = Event(EventName.JOB_ACCEPTED, job.id, facts)
         self._placing_due = True
@@ -213,6 +216,7 @@
         best_left = None
         effects = []
         for rank, record in queued:
+            orders = []
             for task in tuple(self._eligible(record)):
                 step = record.job.steps[task.step]
                 fits = free.holds(step.room) and len(runs) < max(slots, 1)
@@ -220,11 +224,12 @@
                 avoided = sender.incarnation in task.avoided
                 if fits and labelled and not avoided and worker.health.slots(1, now):
                     free = free - step.room
-                    run, ordered = self._order(record, task, worker, now)
-                    runs.append(run)
-                    effects.append(ordered)
+                    runs.append(self._order(record, task, worker, now))
+                    orders.append((task, worker))
                 elif best_left is None:
                     best_left = (rank, step.room)
+            if orders:
+                effects.append(events.runs_ordered(record, orders, now))
         worker.told = best_left is not None
         rank, room = best_left or (None, Room())
         message = StartRuns(worker.stamp_ms, tuple(runs), message.number, rank, room)
@@ -331,8 +336,11 @@
         if record is None:
             return []
         rested = self._judge(worker, record, task, end, run_ms, now)
-        effects = [*rested, events.run_ended(record, task, worker, end, run_ms)]
-        record.ended(task, end)
+        effects = [*rested]
+        if end is not RunEnd.DONE:
+            effects.append(events.run_failed(record, task, worker, end, run_ms))
+        record.ended(task, end, run_ms)
+        self._queue_up(record)
         key = (record.job.id, task.step, task.index)
         if key in self._leftovers:
             self._leftovers.remove(key)
@@ -401,6 +409,7 @@
     def _drop(self, record):
         """Forget a job; stop its runs and remember them until they have ended."""
         del self._records[record.job.id]
+        self._queue_up(record)
         stops = {}
         for task in record.out:
             self._leftovers.add((record.job.id, task.step, task.index))
@@ -413,6 +422,14 @@
 
     # Placing.
 
+    def _queue_up(self, record):
+        """Keep a job among those that wait as long as it has tasks that do."""
+        service, job_id = record.queue.service, record.job.id
+        if self._records.get(job_id) is record and record.has_waiting:
+            self._waiting.setdefault(service, {})[job_id] = record
+        else:
+            self._waiting.get(service, {}).pop(job_id, None)
+
     def _eligible(self, record):
         """Yield the tasks that may be ordered: no other run of them can live."""
         for task in record.ready():
@@ -422,18 +439,16 @@
     def _queued(self, service, now):
         """Return the jobs of a service that wait for room, in order of rank."""
         queued = []
-        for record in self._records.values():
-            if record.queue.service == service and record.has_waiting:
-                chain_ms = record.chain_left_ms(now)
-                rank = rank_of(
-                    record.queue.priority,
-                    record.begun,
-                    record.work_left(),
-                    chain_ms,
-                    record.objective_at,
-                    now,
-                )
-                queued.append((rank, record))
+        for record in self._waiting.get(service, {}).values():
+            rank = rank_of(
+                record.queue.priority,
+                record.begun,
+                record.work_left(),
+                record.chain_left_ms(now),
+                record.objective_at,
+                now,
+            )
+            queued.append((rank, record))
         queued.sort(key=lambda each: each[0])
         return queued
 
@@ -445,10 +460,9 @@
         if not self._placing_due:
             return []
         self._placing_due = False
-        services = {each.queue.service for each in self._records.values()}
         runs = {}
         effects = []
-        for service in services:
+        for service in [name for name, jobs in self._waiting.items() if jobs]:
             blocked = self._place(service, runs, effects, now)
             if blocked is not None:
                 effects += self._requests.tell(service, *blocked, now)
@@ -461,28 +475,35 @@
     def _place(self, service, runs, effects, now):
         """Order the tasks of a service; return rank and room of the first left."""
         for rank, record in self._queued(service, now):
+            orders = []
+            blocked = None
             for task in tuple(self._eligible(record)):
                 step = record.job.steps[task.step]
                 worker = self._workers.choose(
                     service, step.room, step.label, task.avoided, now
                 )
                 if worker is None:
-                    return rank, step.room
-                run, ordered = self._order(record, task, worker, now)
-                effects.append(ordered)
+                    blocked = rank, step.room
+                    break
+                run = self._order(record, task, worker, now)
+                orders.append((task, worker))
                 runs.setdefault(worker.peer.incarnation, []).append(run)
+            if orders:
+                effects.append(events.runs_ordered(record, orders, now))
+            if blocked is not None:
+                return blocked
         return None
 
     def _order(self, record, task, worker, now):
-        """Return the order for a task, out from now on, and its event."""
+        """Return the order for a task, which is out from now on."""
         self._next_number += 1
         number = self._next_number
         step = record.job.steps[task.step]
         record.order(task, number, worker.peer.incarnation, now)
         self._out[number] = (record, task)
         worker.ordered(number, step.room, now)
-        ordered = events.run_ordered(record, task, worker, now)
-        run = Run(
+        self._queue_up(record)
+        return Run(
             number,
             record.job.id,
             task.step,
@@ -492,7 +513,6 @@
             step.room,
             task.expected_ms * worker.ratio,
         )
-        return run, ordered
 
 
 def _retry_after_s(code):
--- a/ragwortlug/jobs/restartable.py
+++ b/ragwortlug/jobs/restartable.py
@@ -31,6 +31,8 @@
         Agents whose worker failed, stalled or lost this task.
     blamed : list
         Workers that are blamed for a failure that may be the task's own.
+    run_ms : int or None
+        How long the run took that ended well.
     moved : bool
         Whether it was taken from a worker that seemed slow; if it is slow
         elsewhere too, the task is large.
@@ -47,6 +49,7 @@
     began: float = 0.0
     avoided: set = field(default_factory=set)
     blamed: list = field(default_factory=list)
+    run_ms: int | None = None
     moved: bool = False
 
 
@@ -141,12 +144,13 @@
         task.began = now
         self.begun = True
 
-    def ended(self, task, end):
-        """Take note of how the run of a task ended."""
+    def ended(self, task, end, run_ms=0.0):
+        """Take note of how the run of a task ended, and after how long."""
         check(Invariant.ONE_RUN, task.state is RunState.OUT, state=task.state)
         self.may_have_run |= end.may_have_run
         if end is RunEnd.DONE:
             task.state = RunState.DONE
+            task.run_ms = round(run_ms)
             self._left[task.step] -= 1
             self._work_left = self._sum_work()
             return
--- a/ragwortlug/telemetry/story.py
+++ b/ragwortlug/telemetry/story.py
@@ -5,6 +5,7 @@
 import msgspec
 
 JOB_KEY = "job"
+RUNS_KEY = "orders"
 MS_PER_S = 1000.0
 
 # What is known without being told on each line.
@@ -58,14 +59,24 @@
     if not story.lines:
         return []
     began = story.lines[0].get("time", 0.0)
-    return [_told(each, began) for each in story.lines]
+    return [line for each in story.lines for line in _told(each, began)]
 
 
 def _told(event, began):
-    """Return one event as a line of text."""
+    """Return one event as lines of text; each run that it tells of has its own."""
     offset_ms = (event.get("time", began) - began) * MS_PER_S
-    facts = " ".join(
-        f"{name}={value}" for name, value in event.items() if name not in _NOT_SHOWN
-    )
     head = f"{offset_ms:9.1f} ms  {event.get('process', '?'):32}"
-    return f"{head} {event.get('event', '?'):14} {facts}"
+    name = f"{event.get('event', '?'):14}"
+    runs = event.get(RUNS_KEY, ())
+    facts = {key: value for key, value in event.items() if key != RUNS_KEY}
+    return [
+        f"{head} {name} {_facts(facts)}",
+        *(f"{head} {'':14} {_facts(each)}" for each in runs),
+    ]
+
+
+def _facts(facts):
+    """Return facts as text."""
+    return " ".join(
+        f"{name}={value}" for name, value in facts.items() if name not in _NOT_SHOWN
+    )
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -33,16 +33,16 @@
         stream = io.BytesIO()
         journal = Journal("entry 1", stream)
         for _ in range(MANY):
-            journal.emit(Event(EventName.RUN_ORDERED, "a", {}))
+            journal.emit(Event(EventName.RUNS_ORDERED, "a", {}))
         journal.tell(EventName.JOB_REFUSED, "b")
         journal.close()
         seen = [each["event"] for each in lines(stream)]
         assert "job_refused" in seen
         # Some seconds of the rate at most: the loop takes far less than ten.
-        assert seen.count("run_ordered") < 12 * IMPORTANT_RATE_PER_S
+        assert seen.count("runs_ordered") < 12 * IMPORTANT_RATE_PER_S
         counts = [each["counts"] for each in lines(stream) if "counts" in each]
-        left_out = sum(each.get("run_ordered", 0) for each in counts)
-        assert left_out + seen.count("run_ordered") == MANY
+        left_out = sum(each.get("runs_ordered", 0) for each in counts)
+        assert left_out + seen.count("runs_ordered") == MANY
 
     def test_a_reader_that_stands_still_blocks_nothing(self):
         reading, writing = os.pipe()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -478,7 +478,7 @@
     def test_the_journals_tell_a_failed_job(self, on_site):
         async def scenario(site):
             await site.submit(JOB, "fail", 1)
-            for name in ("job_accepted", "run_ordered", "run_failed", "job_failed"):
+            for name in ("job_accepted", "runs_ordered", "run_failed", "job_failed"):
                 await site.until(lambda each=name: each in site.story(JOB))
 
         on_site(scenario)
