Refuse what an entry's processor can't handle, and send callers elsewhere

Ruled out: workers (54 of 67 had room) and the order of work. Refusals are code 152, at once. 1,024 new connections may wait.

--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -102,6 +102,13 @@
     NO_CONFIGURATION = 149, Verdict.NOT_RUN, 503, "No configuration is known yet."
     NO_WORKER_HERE = 151, Verdict.NOT_RUN, 503, "No worker known here can hold a task."
 
+    ENTRY_OVERLOADED = (
+        152,
+        Verdict.NOT_RUN,
+        503,
+        "The entry has more work than its processor can handle.",
+    )
+
     # Work that started and did not succeed.
     TASK_FAILED = 200, Verdict.FAILED, 500, "The task ran and failed."
     JOB_FAILED = 201, Verdict.FAILED, 500, "The job failed; no result is given."
--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -10,6 +10,7 @@
 from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatcher import JobSettled
 from ragwortlug.lease_messages import Offer, Progress, Renewal, RunsEnded
+from ragwortlug.policy.overload import Overload
 from ragwortlug.work import Orders, Queue, RestartableJob
 
 TICK_S = 0.05
@@ -57,6 +58,8 @@
         self._gossip = gossip
         self._waiting = {}
         self._journal = journal
+        self._overload = Overload(TICK_S)
+        self._bounded = False
         decisions = {
             Renewal: dispatcher.renewal,
             RunsEnded: dispatcher.runs_ended,
@@ -71,6 +74,7 @@
         self.handle(AbandonWork, lambda _, each: self._abandon(each))
         metrics.gauge("open_jobs", lambda: dispatcher.open_jobs)
         metrics.gauge("running_tasks", lambda: dispatcher.running_tasks)
+        metrics.gauge("late_seconds", lambda: self._overload.late_s)
         metrics.gauge("workers_known", lambda: len(list(dispatcher.workers)))
 
     @property
@@ -78,6 +82,20 @@
         """Return the number of jobs that are not settled."""
         return self._dispatcher.open_jobs
 
+    @property
+    def saturated(self):
+        """Return whether callers are to go to another entry."""
+        return self._overload.saturated
+
+    def takes(self, job):
+        """Return whether a job is taken, as far as the processor goes.
+
+        A request for a job that is open here costs next to nothing.
+        """
+        if self._dispatcher.knows(job.id):
+            return True
+        return self._overload.takes(sum(each.count for each in job.steps))
+
     def unbegun(self, queue_name):
         """Return the number of a queue's jobs of which no task has started."""
         return self._dispatcher.unbegun(queue_name)
@@ -140,8 +158,24 @@
 
     def _tick(self):
         """Tell the dispatcher that time has passed."""
+        now = self._timer.monotonic()
+        self._overload.ticked(now)
+        self._tell_bound()
         self._dispatcher.entries_known(self._gossip.entries)
-        self._perform(self._dispatcher.tick(self._timer.monotonic()))
+        self._perform(self._dispatcher.tick(now))
+
+    def _tell_bound(self):
+        """Tell when the processor begins and ceases to bound what is taken."""
+        limit = self._overload.limit_per_s
+        if (limit is not None) == self._bounded:
+            return
+        self._bounded = limit is not None
+        late_ms = round(self._overload.late_s * MS_PER_S)
+        facts = {"late_ms": late_ms, "jobs": self._dispatcher.open_jobs}
+        if self._bounded:
+            facts["tasks_per_s"] = round(limit)
+        name = EventName.OVERLOADED if self._bounded else EventName.RELIEVED
+        self._journal.tell(name, **facts)
 
     def _perform(self, effects):
         """Send messages and answer requests."""
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -54,6 +54,8 @@
 
     DISPATCHER_SILENT = "dispatcher_silent", "An agent's questions have no answer."
     DISPATCHER_ANSWERS = "dispatcher_answers", "A dispatcher answers its agent again."
+    OVERLOADED = "overloaded", "An entry's own processor bounds what it takes."
+    RELIEVED = "relieved", "An entry takes all that comes again."
     ENTRY_HEARD = "entry_heard", "An entry hears another one."
     ENTRY_SILENT = "entry_silent", "An entry hears another one no longer."
     ORDERS_APPLIED = "orders_applied", "Operators' newer orders are in force here."
--- a/ragwortlug/io/http.py
+++ b/ragwortlug/io/http.py
@@ -9,6 +9,8 @@
 
 KB = 1024
 SHUTDOWN_S = 5.0
+# New connections that wait while the event loop is busy; more are dropped.
+BACKLOG = 1024
 EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = logger("http")
@@ -128,7 +130,11 @@
         )
         await self._runner.setup()
         self._site = web.TCPSite(
-            self._runner, self._host, self._port, reuse_address=True
+            self._runner,
+            self._host,
+            self._port,
+            backlog=BACKLOG,
+            reuse_address=True,
         )
         await self._site.start()
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -108,6 +108,10 @@
             if each.queue.name == queue_name and not each.begun
         )
 
+    def knows(self, job_id):
+        """Return whether a job is open here."""
+        return job_id in self._records
+
     # Requests.
 
     def submit(self, request, job, queue, deadline, now):
--- a/ragwortlug/platform/compose_entry.py
+++ b/ragwortlug/platform/compose_entry.py
@@ -32,7 +32,11 @@
     ready_server = server_at(settings.ready)
     ReadyRoutes(
         ready_server,
-        lambda: gossip.orders.table is not None and not routes.draining,
+        lambda: (
+            gossip.orders.table is not None
+            and not routes.draining
+            and not actor.saturated
+        ),
     )
     kernel.register("ready", ready_server)
     serve_metrics(kernel, settings, metrics)
