--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -70,7 +70,7 @@
             log.debug("A message was not sent: {}.", error)
             return False
         finally:
-            if self._readable():
+            if not self.closed and self._readable():
                 self._read_soon()
         return True
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -427,12 +427,16 @@
     # Placing.
 
     def _queue_up(self, record):
-        """Keep a job among those that wait as long as it has tasks that do."""
-        service, job_id = record.queue.service, record.job.id
+        """Keep a job among those that wait as long as it has tasks that do.
+
+        A settled job whose runs have not all ended may have a successor of its id.
+        """
+        job_id = record.job.id
+        waiting = self._waiting.setdefault(record.queue.service, {})
         if self._records.get(job_id) is record and record.has_waiting:
-            self._waiting.setdefault(service, {})[job_id] = record
-        else:
-            self._waiting.get(service, {}).pop(job_id, None)
+            waiting[job_id] = record
+        elif waiting.get(job_id) is record:
+            del waiting[job_id]
 
     def _eligible(self, record):
         """Yield the tasks that may be ordered: no other run of them can live."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,6 +7,7 @@
 
 import heapq
 import random
+from collections import deque
 
 import pytest
 
@@ -28,79 +29,86 @@
         self.rate = load * CAPACITY_PER_S
         self.overload = Overload(TICK_S)
         self.gated = gated
-        self.events = []
-        self.free_at = 0.0
+        self.now = 0.0
         self.in_time = self.late = self.refused = 0
         self.saturated_at = None
+        self._events = []
         self._order = 0
-        self._add(0.0, self._tick)
-        self._add(0.0, self._arrive)
+        self._line = deque()
+        self._busy = False
+        self._at(0.0, self._tick)
+        self._at(0.0, self._arrive)
         if paused_s:
-            self._add(5.0, lambda at_s: self._take(at_s, paused_s))
+            self._at(5.0, lambda: self._enter(lambda: (paused_s, None)))
 
     def play(self):
         """Play to the end, with what is left then."""
-        while self.events:
-            at_s, _, act = heapq.heappop(self.events)
-            act(at_s)
+        while self._events:
+            self.now, _, act = heapq.heappop(self._events)
+            act()
         return self
 
-    def _add(self, at_s, act):
+    def _at(self, at_s, act):
         """Let something happen later."""
         self._order += 1
-        heapq.heappush(self.events, (at_s, self._order, act))
-
-    def _take(self, at_s, cost_s):
-        """Spend processor time in turn; return when it begins and ends."""
-        begins = max(at_s, self.free_at)
-        self.free_at = begins + cost_s
-        return begins, self.free_at
-
-    def _in_turn(self, at_s, act):
-        """Call something when the loop gets to it."""
-        if self.free_at > at_s:
-            self._add(self.free_at, lambda now: self._in_turn(now, act))
-        else:
-            act(at_s)
-
-    def _tick(self, at_s):
-        """Take note of a tick."""
-
-        def act(now):
-            self.overload.ticked(now)
+        heapq.heappush(self._events, (at_s, self._order, act))
+
+    def _enter(self, work):
+        """Let some work wait in line; it returns its cost and what follows."""
+        self._line.append(work)
+        if not self._busy:
+            self._serve()
+
+    def _serve(self):
+        """Begin what is first in line."""
+        self._busy = bool(self._line)
+        if self._busy:
+            cost_s, then = self._line.popleft()()
+            self._at(self.now + cost_s, lambda: self._served(then))
+
+    def _served(self, then):
+        """End one piece of work and begin the next."""
+        if then is not None:
+            then()
+        self._serve()
+
+    def _tick(self):
+        """Take note of a tick, and plan the next one."""
+
+        def work():
+            self.overload.ticked(self.now)
             if self.overload.saturated and self.saturated_at is None:
-                self.saturated_at = now
-            if now < LENGTH_S:
-                self._add(now + TICK_S, self._tick)
+                self.saturated_at = self.now
+            if self.now < LENGTH_S:
+                self._at(self.now + TICK_S, self._tick)
+            return 0.0, None
 
-        self._in_turn(at_s, act)
+        self._enter(work)
 
-    def _arrive(self, at_s):
-        """Hand one job in, and the next one later."""
-        if at_s < LENGTH_S:
-            self._add(at_s + self.rng.expovariate(self.rate), self._arrive)
-            self._in_turn(at_s, lambda now: self._decide(at_s, now))
+    def _arrive(self):
+        """Hand one job in, and plan the next one."""
+        if self.now < LENGTH_S:
+            came = self.now
+            self._at(came + self.rng.expovariate(self.rate), self._arrive)
+            self._enter(lambda: self._decide(came))
 
-    def _decide(self, came, now):
+    def _decide(self, came):
         """Refuse a job or begin it."""
         if self.gated and not self.overload.takes(1):
             self.refused += 1
-            self._take(now, REFUSAL_S)
-            return
-        _, begun = self._take(now, SUBMIT_S)
-        self._add(begun + RUN_S, lambda at_s: self._end(came, at_s))
-
-    def _end(self, came, at_s):
-        """Answer a job whose tasks have ended."""
-
-        def act(now):
-            _, answered = self._take(now, ENDS_S)
-            if answered - came <= OBJECTIVE_S:
-                self.in_time += 1
-            else:
-                self.late += 1
-
-        self._in_turn(at_s, act)
+            return REFUSAL_S, None
+
+        def end():
+            self._enter(lambda: (ENDS_S, lambda: self._answer(came)))
+
+        return SUBMIT_S, lambda: self._at(self.now + RUN_S, end)
+
+    def _answer(self, came):
+        """Count a job that has its answer."""
+        if self.now - came <= OBJECTIVE_S:
+            self.in_time += 1
+        else:
+            self.late += 1
 
 
 class TestOverload:
