Tell no room with a refusal for want of a permission

Cause: an agent that refused an order because its permission was too old, or because it takes no runs, told the room of its worker with the refusal. Ruled out: the processor of that entry (37 ms late at most) and the workers' room. Change: no room is told then; the next renewal, which brings a permission, tells it. The test fails without it; plays of load and of failures pass.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -305,7 +305,10 @@
                 StartOnWorker(self._worker.boot, key, run, lease, self._token)
             )
         if refused:
-            effects.append(Send(sender, RunsEnded(tuple(refused), self._unkept())))
+            # Without a permission no room is of use until the next renewal; a
+            # dispatcher that is told of it would order the same runs again at once.
+            free = self._unkept() if permitted and self.accepting else Room()
+            effects.append(Send(sender, RunsEnded(tuple(refused), free)))
         return effects + self._offer_room(now)
 
     def stop_runs(self, sender, message, now):
