--- a/ragwortlug/jobs/demand_notifier.py
+++ b/ragwortlug/jobs/demand_notifier.py
@@ -44,7 +44,6 @@
             serving = self._workers.serving(service, now)
             notified = [worker for worker in serving if not worker.notified]
         for worker in notified:
-            worker.notified = True
-            worker.notified_at = now
+            worker.on_demand_sent(rank, now)
         message = Wants(rank, resources)
         return [Send(worker.peer, message) for worker in notified]
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -513,16 +513,20 @@
         if not self._dispatch_due:
             return []
         self._dispatch_due = False
-        runs = {}
         effects = []
         for service in [name for name, records in self._waiting.items() if records]:
+            runs = {}
             blocked = self._assign_waiting(service, runs, effects, now)
+            rank, resources = blocked or (None, Resources())
+            for incarnation, assigned in runs.items():
+                worker = self._workers.get(incarnation)
+                message = StartRuns(
+                    worker.requested_at_ms, tuple(assigned), 0, rank, resources
+                )
+                effects.append(Send(worker.peer, message))
+                worker.on_demand_sent(rank, now)
             if blocked is not None:
                 effects += self._demand_notifier.notify(service, *blocked, now)
-        for incarnation, assigned in runs.items():
-            worker = self._workers.get(incarnation)
-            message = StartRuns(worker.requested_at_ms, tuple(assigned))
-            effects.append(Send(worker.peer, message))
         return effects
 
     def _assign_waiting(self, service, runs, effects, now):
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -199,7 +199,7 @@
         }
         effects = self._record_ends(snapshot.ended, by_run, now)
         if asked_at < self._latest_snapshot_requested_at:
-            return effects + self._offer_resources(now)
+            return self._offer_then_report(effects, now)
         self._latest_snapshot_requested_at = asked_at
         self._clock_base = (now, snapshot.clock_ms)
         if self._silent_since is not None:
@@ -233,7 +233,7 @@
                 effects += self._end_run(key, end, now)
         if is_first_snapshot:
             effects += self._request_renewals()
-        return effects + self._offer_resources(now)
+        return self._offer_then_report(effects, now)
 
     def on_snapshot_failed(self, boot, refused, now):
         """Handle a snapshot request that a boot of the worker did not answer.
@@ -279,7 +279,7 @@
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
             return self.on_replaced()
-        return self._end_run(key, end, now) + self._offer_resources(now)
+        return self._offer_then_report(self._end_run(key, end, now), now)
 
     def on_stop_answered(self, task, attempt, answered, now):
         """Handle the worker's answer to a command to stop a run.
@@ -456,6 +456,22 @@
             return []
         return self._permissions.offer(self.free_resources, now)
 
+    def _offer_then_report(self, effects, now):
+        """Offer the free resources, then complete the reports of ended runs.
+
+        A report that says resources are free while they are offered to another
+        dispatcher would make its receiver assign runs that must be refused.
+        """
+        offers = self._offer_resources(now)
+        unreserved = self._unreserved()
+        reports = [
+            Send(each.receiver, RunsEnded(each.body.ends, unreserved))
+            if isinstance(each, Send) and isinstance(each.body, RunsEnded)
+            else each
+            for each in effects
+        ]
+        return reports + offers
+
     def _unreserved(self):
         """Return the free resources that no offer reserves."""
         return Resources() if self._permissions.offering else self.free_resources
--- a/ragwortlug/policy/known_workers.py
+++ b/ragwortlug/policy/known_workers.py
@@ -129,6 +129,12 @@
             if number not in listed and now - assigned_at > MISSING_AFTER_S
         )
 
+    def on_demand_sent(self, rank, now):
+        """Record that the agent was sent the rank of the best waiting task, or None."""
+        self.notified = rank is not None
+        if self.notified:
+            self.notified_at = now
+
     def on_assigned(self, number, resources, now):
         """Record an assignment that was sent."""
         self.outstanding[number] = now
