--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -23,7 +23,11 @@
 MAX_MESSAGE_BYTES = 8 << 20
 HEARTBEAT_INTERVAL_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 1500
-CONNECT_TIMEOUT_MS = 500
+# Processes start in any order: an attempt to connect to one that does not listen yet,
+# or whose VM has no power, is repeated soon, and less often the longer it fails.
+CONNECT_TIMEOUT_MS = 150
+RECONNECT_INTERVAL_MS = 10
+MAX_RECONNECT_INTERVAL_MS = 160
 LINGER_MS = 200
 # A plain int: operations on the library's flag type cost more than the poll.
 POLL_IN = int(zmq.POLLIN)
@@ -303,6 +307,8 @@
             socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
             socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_INTERVAL_MS)
             socket.connect(address)
             connection = Connection(Channel(socket, self._on_dealer_frames), now)
             self._connections[address] = connection
--- a/ragwortlug/platform/records.py
+++ b/ragwortlug/platform/records.py
@@ -145,15 +145,24 @@
             log.info("Failed to read the worker's record: {}.", error)
 
     async def _find_entries(self):
-        """Read the entries' addresses while none of them sends renewals."""
+        """Read the entries' addresses at the start, and while none sends renewals.
+
+        The seeds are a few of the entries. After a power loss the others are found
+        in the store sooner than by way of the seeds.
+        """
         while True:
-            await asyncio.sleep(ENTRY_SILENCE_S)
-            if self._timer.monotonic() - self._runner.last_renewal_at < ENTRY_SILENCE_S:
-                continue
             try:
                 self._runner.add_addresses(await read_entry_addresses(self._store))
             except (StoreError, msgspec.DecodeError) as error:
                 log.info("Failed to read the entries' records: {}.", error)
+            await asyncio.sleep(ENTRY_SILENCE_S)
+            while self._hears_entries():
+                await asyncio.sleep(ENTRY_SILENCE_S)
+
+    def _hears_entries(self):
+        """Return whether an entry has sent a renewal recently."""
+        silence_s = self._timer.monotonic() - self._runner.last_renewal_at
+        return silence_s < ENTRY_SILENCE_S
 
 
 async def read_entry_addresses(store):
