--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -21,6 +21,7 @@
 from ragwortlug.jobs.demand_notifier import DemandNotifier
 from ragwortlug.jobs.restartable import RestartableRecord
 from ragwortlug.lease_messages import Renewed, StartRuns, StopRuns
+from ragwortlug.policy.backlog import LateWork
 from ragwortlug.policy.job_ranking import job_rank, misses_deadline, objective_ms
 from ragwortlug.policy.known_workers import STALL_WEIGHT, KnownWorkers
 from ragwortlug.policy.run_time_estimator import RunTimeEstimator
@@ -71,6 +72,7 @@
         self._next_number = 0
         self._workers = KnownWorkers(settings, rng)
         self._run_time_estimator = RunTimeEstimator()
+        self._late_work = {}
         self._orders = Orders()
         self._demand_notifier = DemandNotifier(self._workers)
         self._entries = ()
@@ -318,6 +320,8 @@
             )
         for record in tuple(self._records.values()):
             effects += self._check_deadline(record, now)
+        for service in tuple(self._waiting):
+            effects += self._refuse_late_jobs(service, now)
         self._dispatch_due = True
         return effects + self._dispatch(now)
 
@@ -362,6 +366,31 @@
             return self._finish_job(record, Code.DEADLINE_UNREACHABLE, now)
         return []
 
+    def _refuse_late_jobs(self, service, now):
+        """Refuse the late jobs that can't start before it is too late for them.
+
+        Jobs with an assigned task are kept.
+        """
+        late = [
+            record
+            for rank, record in self._ranked_records(service, now)
+            if rank.misses_objective
+        ]
+        late_work = self._late_work.setdefault(service, LateWork())
+        late_work.update(bool(late), now)
+        effects = []
+        work_ahead = 0.0
+        for record in late:
+            starts_at = now + late_work.wait_s(work_ahead)
+            path_ms = record.remaining_path_ms(now)
+            if not record.ever_assigned and misses_deadline(
+                path_ms, record.deadline, starts_at
+            ):
+                effects += self._finish_job(record, Code.DEADLINE_UNREACHABLE, now)
+            else:
+                work_ahead += record.remaining_work()
+        return effects
+
     def _run_ended(self, worker, number, end, run_ms, now):
         """Record the end of one run.
 
@@ -559,6 +588,7 @@
         self._next_number += 1
         number = self._next_number
         step = record.job.steps[task.step]
+        self._count_start(record, task, now)
         record.assign(task, number, worker.peer.incarnation, now)
         self._outstanding[number] = (record, task)
         worker.on_assigned(number, step.resources, now)
@@ -573,6 +603,14 @@
             task.expected_ms * worker.slowdown,
         )
 
+    def _count_start(self, record, task, now):
+        """Count the work of a task that is about to be started."""
+        late_work = self._late_work.get(record.queue.service)
+        if late_work is not None:
+            is_late = now + record.remaining_path_ms(now) / MS_PER_S > record.objective_at
+            work = record.resources(task).cpu * task.expected_ms
+            late_work.on_started(work, is_late)
+
     def _assignment_events(self, record, assignments, now):
         """Return the event of a job's new assignments, if there are any."""
         if not assignments:
