--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -20,16 +20,15 @@
 from ragwortlug.jobs import dispatch_events as events
 from ragwortlug.jobs.demand_notifier import DemandNotifier
 from ragwortlug.jobs.restartable import RestartableRecord
+from ragwortlug.jobs.run_feedback import RunFeedback
+from ragwortlug.jobs.waiting_jobs import WaitingJobs
 from ragwortlug.lease_messages import Renewed, StartRuns, StopRuns
 from ragwortlug.policy.backlog import LateWork
-from ragwortlug.policy.job_ranking import job_rank, misses_deadline, objective_ms
-from ragwortlug.policy.known_workers import STALL_WEIGHT, KnownWorkers
-from ragwortlug.policy.run_time_estimator import RunTimeEstimator
+from ragwortlug.policy.job_ranking import misses_deadline, objective_ms
+from ragwortlug.policy.known_workers import KnownWorkers
 from ragwortlug.restartable_model import Orders, Resources, Run, RunEnd
 
 MS_PER_S = 1000.0
-RESCHEDULE_FACTOR = 1.5
-RESCHEDULE_COST_MS = 40.0
 RETRY_AFTER_S = 1
 HTTP_UNAVAILABLE = 503
 
@@ -64,14 +63,11 @@
     def __init__(self, settings, rng):
         self._settings = settings
         self._records = {}
-        # Records of jobs with waiting tasks, by service and job id.
-        self._waiting = {}
+        self._waiting = WaitingJobs()
         self._outstanding = {}
-        # Tasks of removed jobs whose runs have not ended: job id, step and index.
-        self._stopping_tasks = set()
         self._next_number = 0
         self._workers = KnownWorkers(settings, rng)
-        self._run_time_estimator = RunTimeEstimator()
+        self._feedback = RunFeedback(self._workers)
         self._late_work = {}
         self._orders = Orders()
         self._demand_notifier = DemandNotifier(self._workers)
@@ -134,7 +130,7 @@
             fields = {"requests": len(record.requests)}
             return [Event(EventName.JOB_ATTACHED, job.id, fields)]
         expected = [
-            self._run_time_estimator.expected_run_ms(queue.name, step.estimate_ms)
+            self._feedback.expected_run_ms(queue.name, step.estimate_ms)
             for step in job.steps
         ]
         record = RestartableRecord(job, queue, now, deadline, 0.0, expected)
@@ -232,12 +228,12 @@
         runs = []
         in_service = worker.state.data_centre not in self._workers.evacuated
         slots = worker.health.usable_slots(len(self._records) + 1, now)
-        ranked = self._ranked_records(service, now) if in_service and slots else []
+        ranked = self._waiting.ranked(service, now) if in_service and slots else []
         best_remaining = None
         effects = []
         for rank, record in ranked:
             assignments = []
-            for task in tuple(self._eligible(record)):
+            for task in self._waiting.eligible_tasks(record):
                 step = record.job.steps[task.step]
                 fits = free_resources.can_fit(step.resources) and len(runs) < max(
                     slots, 1
@@ -274,7 +270,7 @@
             record, task = self._outstanding.get(number, (None, None))
             if record is None or self._records.get(record.job.id) is not record:
                 continue
-            if self._should_reschedule(
+            if self._feedback.should_reschedule(
                 worker, record, task, run_ms, remaining_run_ms, now
             ):
                 stops.append(number)
@@ -320,7 +316,7 @@
             )
         for record in tuple(self._records.values()):
             effects += self._check_deadline(record, now)
-        for service in tuple(self._waiting):
+        for service in self._waiting.services:
             effects += self._refuse_late_jobs(service, now)
         self._dispatch_due = True
         return effects + self._dispatch(now)
@@ -373,7 +369,7 @@
         """
         late = [
             record
-            for rank, record in self._ranked_records(service, now)
+            for rank, record in self._waiting.ranked(service, now)
             if rank.misses_objective
         ]
         late_work = self._late_work.setdefault(service, LateWork())
@@ -401,14 +397,12 @@
         record, task = self._outstanding.pop(number, (None, None))
         if record is None:
             return []
-        effects = self._record_run_outcome(worker, record, task, end, run_ms, now)
+        effects = self._feedback.on_run_ended(worker, record, task, end, run_ms, now)
         if end is not RunEnd.DONE:
             effects.append(events.run_failed(record, task, worker, end, run_ms))
         record.end_run(task, end, run_ms)
         self._update_waiting(record)
-        key = (record.job.id, task.step, task.index)
-        if key in self._stopping_tasks:
-            self._stopping_tasks.remove(key)
+        if self._waiting.end_stopping(record, task):
             return effects
         if record.done:
             return effects + self._finish_job(record, Code.OK, now)
@@ -416,56 +410,6 @@
             return effects + self._finish_job(record, Code.JOB_FAILED, now)
         return effects
 
-    def _record_run_outcome(self, worker, record, task, end, run_ms, now):
-        """Update the worker's health and the run time estimates; return events."""
-        if worker is None:
-            return []
-        ejected = worker.health.ejected
-        if end is RunEnd.DONE:
-            worker.health.on_succeeded()
-            declared = record.job.steps[task.step].estimate_ms
-            self._workers.update_slowdown(worker, run_ms / max(task.expected_ms, 1.0))
-            self._run_time_estimator.add_run_time(
-                record.queue.name, declared, run_ms / worker.slowdown
-            )
-        elif end is RunEnd.FAILED:
-            for blamed_worker in task.blamed_workers:
-                blamed_worker.health.undo_failure()
-            if not task.failures:
-                worker.health.on_failed(now)
-                task.blamed_workers.append(worker)
-        else:
-            worker.health.on_start_failed()
-        if worker.health.ejected and not ejected:
-            return [events.worker_ejected(record, worker, end)]
-        return []
-
-    def _should_reschedule(self, worker, record, task, run_ms, remaining_run_ms, now):
-        """Return whether a late run must be stopped and run elsewhere.
-
-        `remaining_run_ms` is None for a run that makes no progress.
-        """
-        others = [
-            other
-            for other in self._workers.serving(record.queue.service, now)
-            if other is not worker and not other.health.ejected
-        ]
-        if not others:
-            return False
-        rerun_ms = task.expected_ms * min(other.slowdown for other in others)
-        if remaining_run_ms is not None:
-            if (
-                task.rescheduled
-                or remaining_run_ms <= RESCHEDULE_FACTOR * rerun_ms + RESCHEDULE_COST_MS
-            ):
-                return False
-            task.rescheduled = True
-            slowdown = (run_ms + remaining_run_ms) / max(task.expected_ms, 1.0)
-            self._workers.update_slowdown(worker, slowdown, STALL_WEIGHT)
-        worker.health.on_failed(now)
-        task.excluded_agents.add(worker.peer.incarnation)
-        return True
-
     def _finish_job(self, record, code, now):
         """Answer a job's requests and stop its remaining runs."""
         if code is Code.OK:
@@ -488,7 +432,7 @@
         self._update_waiting(record)
         stops = {}
         for task in record.assigned_tasks:
-            self._stopping_tasks.add((record.job.id, task.step, task.index))
+            self._waiting.add_stopping(record, task)
             stops.setdefault(task.agent, []).append(task.number)
         return [
             Send(self._workers.get(agent).peer, StopRuns(tuple(assignment_numbers)))
@@ -499,39 +443,9 @@
     # Assignment.
 
     def _update_waiting(self, record):
-        """Add a job to the waiting jobs, or remove it if no task of it waits.
-
-        After a job is finished, a new job of the same id may be submitted while
-        runs of the old one have not ended; the records are compared for that reason.
-        """
-        job_id = record.job.id
-        waiting = self._waiting.setdefault(record.queue.service, {})
-        if self._records.get(job_id) is record and record.has_waiting:
-            waiting[job_id] = record
-        elif waiting.get(job_id) is record:
-            del waiting[job_id]
-
-    def _eligible(self, record):
-        """Yield the ready tasks that can have no other run under way."""
-        for task in record.ready():
-            if (record.job.id, task.step, task.index) not in self._stopping_tasks:
-                yield task
-
-    def _ranked_records(self, service, now):
-        """Return the waiting jobs of a service as pairs of rank and record, sorted."""
-        ranked = []
-        for record in self._waiting.get(service, {}).values():
-            rank = job_rank(
-                record.queue.priority,
-                record.ever_assigned,
-                record.remaining_work(),
-                record.remaining_path_ms(now),
-                record.objective_at,
-                now,
-            )
-            ranked.append((rank, record))
-        ranked.sort(key=lambda pair: pair[0])
-        return ranked
+        """Add a job to the waiting jobs, or remove it, as its state requires."""
+        is_open = self._records.get(record.job.id) is record
+        self._waiting.update(record, is_open)
 
     def _dispatch(self, now):
         """Assign waiting tasks to free resources; notify agents if some still wait.
@@ -543,7 +457,7 @@
             return []
         self._dispatch_due = False
         effects = []
-        for service in [name for name, records in self._waiting.items() if records]:
+        for service in self._waiting.services:
             runs = {}
             blocked = self._assign_waiting(service, runs, effects, now)
             rank, resources = blocked or (None, Resources())
@@ -564,10 +478,10 @@
         Returns the rank and the resources of the first task that fits no worker, or
         None if all tasks were assigned.
         """
-        for rank, record in self._ranked_records(service, now):
+        for rank, record in self._waiting.ranked(service, now):
             assignments = []
             blocked = None
-            for task in tuple(self._eligible(record)):
+            for task in self._waiting.eligible_tasks(record):
                 step = record.job.steps[task.step]
                 worker = self._workers.choose(
                     service, step.resources, step.label, task.excluded_agents, now
@@ -607,7 +521,9 @@
         """Count the work of a task that is about to be started."""
         late_work = self._late_work.get(record.queue.service)
         if late_work is not None:
-            is_late = now + record.remaining_path_ms(now) / MS_PER_S > record.objective_at
+            is_late = (
+                now + record.remaining_path_ms(now) / MS_PER_S > record.objective_at
+            )
             work = record.resources(task).cpu * task.expected_ms
             late_work.on_started(work, is_late)
 
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -54,6 +54,8 @@
         self._runs = {}
         self._unassigned_runs = set()
         self._permissions = Permissions(settings)
+        # Dispatchers whose latest report left out resources that were on offer.
+        self._uninformed = set()
         self._lease_expires_at = 0.0
         self._silent_since = None
         self._latest_snapshot_requested_at = 0.0
@@ -346,7 +348,8 @@
                 self._unreserved() if permitted and self.accepting else Resources()
             )
             effects.append(Send(sender, RunsEnded(tuple(refused), free_resources)))
-        return effects + self._offer_resources(now)
+        effects += self._offer_resources(now)
+        return effects + self._report_remainder()
 
     def on_stop_runs(self, sender, message, now):
         """Stop runs of a dispatcher, or repeat how they ended.
@@ -460,18 +463,29 @@
         """Offer the free resources, then complete the reports of ended runs.
 
         A report that says resources are free while they are offered to another
-        dispatcher would make its receiver assign runs that must be refused.
+        dispatcher would make its receiver assign runs that must be refused. Its
+        receiver gets another one once the offer is answered.
         """
         offers = self._offer_resources(now)
-        unreserved = self._unreserved()
-        reports = [
-            Send(each.receiver, RunsEnded(each.body.ends, unreserved))
-            if isinstance(each, Send) and isinstance(each.body, RunsEnded)
-            else each
-            for each in effects
-        ]
+        reports = []
+        for effect in effects:
+            if isinstance(effect, Send) and isinstance(effect.body, RunsEnded):
+                effect = Send(
+                    effect.receiver, RunsEnded(effect.body.ends, self._unreserved())
+                )
+                if self._permissions.offering:
+                    self._uninformed.add(effect.receiver)
+            reports.append(effect)
         return reports + offers
 
+    def _report_remainder(self):
+        """Report what the answered offers have left to those told that it is taken."""
+        if self._permissions.offering or not self._uninformed:
+            return []
+        report = RunsEnded((), self._unreserved())
+        receivers, self._uninformed = self._uninformed, set()
+        return [Send(receiver, report) for receiver in receivers]
+
     def _unreserved(self):
         """Return the free resources that no offer reserves."""
         return Resources() if self._permissions.offering else self.free_resources
--- a/ragwortlug/policy/backlog.py
+++ b/ragwortlug/policy/backlog.py
@@ -35,9 +35,7 @@
     @property
     def _is_warm(self):
         """Whether rates have been observed for long enough."""
-        return (
-            self._since is not None and self._updated_at - self._since >= WARM_UP_S
-        )
+        return self._since is not None and self._updated_at - self._since >= WARM_UP_S
 
     def on_started(self, work, is_late):
         """Record work that was started."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ragwortlug.codes import Code
-from ragwortlug.jobs import dispatcher
+from ragwortlug.jobs import dispatcher, waiting_jobs
 from ragwortlug.policy.job_ranking import job_rank, misses_deadline
 from ragwortlug.policy.known_workers import KnownWorkers
 from ragwortlug.restartable_model import Rank
@@ -51,7 +51,7 @@
     @pytest.mark.parametrize("load", [{"burst": 2.2}, {"burst": 1.3, "lost": 4}])
     def test_more_callers_are_served_in_time(self, monkeypatch, load):
         ours = sum(play_load(seed, **load).benefit() for seed in SEEDS)
-        monkeypatch.setattr(dispatcher, "job_rank", earliest_objective)
+        monkeypatch.setattr(waiting_jobs, "job_rank", earliest_objective)
         theirs = sum(play_load(seed, **load).benefit() for seed in SEEDS)
         assert ours > theirs
 
