--- a/ragwortlug/daemon.py
+++ b/ragwortlug/daemon.py
@@ -43,6 +43,7 @@
     await kernel.start()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
     log.info("Serving.")
     await stop_requested.wait()
     log.info("Shutting down.")
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -41,6 +41,24 @@
         assert [each.index for each in last] == [1]
 
 
+class TestDemand:
+    """What agents are told of the work that waits."""
+
+    def test_an_assignment_says_which_work_still_waits(self):
+        dispatcher = Dispatcher(SETTINGS, random.Random(1))
+        agent = Peer("tcp://10.1.0.1:7720", "agent-1")
+        room = Resources(6000, 64, 0)
+        state = WorkerState("carving", "patan", (), room, room, True)
+        dispatcher.on_renewal(agent, Renewal(0, state), 0.0)
+        job = RestartableJob("00c0ffee00c0ffee", "text", (Step(2, room, 100),))
+        queue = Queue("q", "a.example", "/q/", "carving")
+        effects = dispatcher.submit("r1", job, queue, 9.0, 0.0)
+        (message,) = [each.body for each in effects if isinstance(each, Send)]
+        assert len(message.runs) == 1
+        assert message.rank is not None
+        assert message.resources == room
+
+
 def _ordered(effects):
     """Return the runs that effects order."""
     return [
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -2,13 +2,20 @@
 
 from ragwortlug.envelope import Peer, Send
 from ragwortlug.jobs.leased import LeasedRunner
-from ragwortlug.jobs.worker_calls import WorkerReport, WorkerSnapshot
-from ragwortlug.lease_messages import Renewed, RunsEnded, StartRuns
+from ragwortlug.jobs.worker_calls import (
+    ListedRun,
+    StartAnswer,
+    WorkerReport,
+    WorkerSnapshot,
+)
+from ragwortlug.lease_messages import Offer, Renewed, RunsEnded, StartRuns, Wants
 from ragwortlug.lease_settings import RestartSettings
-from ragwortlug.restartable_model import Resources, Run, RunEnd
+from ragwortlug.restartable_model import Rank, Resources, Run, RunEnd
 
 ROOM = Resources(64000, 1000, 0)
 SENDER = Peer("tcp://10.1.0.1:7720", "entry-1")
+OTHER = Peer("tcp://10.1.0.3:7720", "entry-2")
+RANK = Rank(False, 0, True, 1.0)
 RUN = Run(1, "00c0ffee00c0ffee", 0, 0, 1, "text", Resources(6000, 64, 0), 100.0)
 
 
@@ -48,3 +55,47 @@
         )
         told = refusal(agent.on_start_runs(SENDER, StartRuns(10_000, (large,)), 10.0))
         assert told.free_resources == ROOM
+
+
+class TestOffers:
+    """Reports of free resources beside offers of the same resources."""
+
+    def test_offered_resources_are_not_reported_as_free(self):
+        _, effects = self._end_a_run_while_another_dispatcher_waits()
+        (offer,) = messages(effects, Offer)
+        assert offer[0] == OTHER
+        ((receiver, report),) = messages(effects, RunsEnded)
+        assert receiver == SENDER
+        assert report.ends[0][:2] == (1, RunEnd.DONE)
+        assert report.free_resources == Resources()
+
+    def test_what_an_answered_offer_leaves_is_reported(self):
+        agent, effects = self._end_a_run_while_another_dispatcher_waits()
+        ((_, offer),) = messages(effects, Offer)
+        answer = StartRuns(10_000, (), offer.number)
+        effects = agent.on_start_runs(OTHER, answer, 10.2)
+        assert messages(effects, RunsEnded) == [(SENDER, RunsEnded((), ROOM))]
+        assert agent.on_start_runs(OTHER, StartRuns(10_000, ()), 10.2) == []
+
+    @staticmethod
+    def _end_a_run_while_another_dispatcher_waits():
+        """Return an agent, and the effects of the end of a run of `SENDER`."""
+        agent = runner()
+        for peer in (SENDER, OTHER):
+            agent.on_renewed(peer, Renewed(10_000), 10.0)
+        whole = Run(1, RUN.job_id, 0, 0, 1, "text", ROOM, 100.0)
+        agent.on_start_runs(SENDER, StartRuns(10_000, (whole,)), 10.0)
+        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.STARTED, 10.0)
+        assert agent.on_wants(OTHER, Wants(RANK, RUN.resources), 10.0) == []
+        ended = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
+        snapshot = WorkerSnapshot(100, 1, (), (ended,))
+        return agent, agent.on_snapshot(snapshot, 10.1, 10.1)
+
+
+def messages(effects, kind):
+    """Return the receiver and the body of each message of a type."""
+    return [
+        (each.receiver, each.body)
+        for each in effects
+        if isinstance(each, Send) and isinstance(each.body, kind)
+    ]
