--- a/tests/play.py
+++ b/tests/play.py
@@ -199,18 +199,32 @@
 
     def hand_in(self, kind, tasks, mean_s, cpu=6200, deadline_s=None, entry=None):
         """Let a caller hand in a job of a kind: 0 preview, 1 render, 2 stamp."""
-        queue = self.queues[kind]
         job_id = f"{self.rng.getrandbits(64):016x}"
         works = [mean_s * self.rng.uniform(0.85, 1.15) for _ in range(tasks)]
-        for index, work_s in enumerate(works):
-            self.work[(job_id, 0, index)] = work_s
         declared = int(mean_s * 1000 * self.rng.uniform(0.6, 1.4))
         room = Resources(int(cpu * self.rng.uniform(0.8, 1.2)), 64, 0)
-        job = RestartableJob(job_id, "spec", (Step(tasks, room, declared),))
         aim_s = 1.6 * max(works) + 0.06
         limit_s = deadline_s if deadline_s is not None else 6 * aim_s
         entry = entry or self.rng.choice(self.homes)
-        caller = Caller(job, queue, self.now, self.now + limit_s, entry, aim_s=aim_s)
+        return self.submit_job(kind, job_id, works, declared, room, limit_s, entry)
+
+    def submit_job(self, kind, job_id, works, declared_ms, room, limit_s, entry):
+        """Let a caller submit a job of one step.
+
+        Parameters
+        ----------
+        works : sequence of float
+            The work of each task, in seconds at speed 1.
+        limit_s : float
+            How long the caller waits, in seconds.
+        """
+        for index, work_s in enumerate(works):
+            self.work[(job_id, 0, index)] = work_s
+        job = RestartableJob(job_id, "spec", (Step(len(works), room, declared_ms),))
+        aim_s = 1.6 * max(works) + 0.06
+        deadline = self.now + limit_s
+        queue = self.queues[kind]
+        caller = Caller(job, queue, self.now, deadline, entry, aim_s=aim_s)
         self.callers[job_id] = caller
         self._submit(caller)
         return caller
@@ -269,6 +283,14 @@
         agent.alive = False
         self.at(down_s, agent.boot)
 
+    def power_off(self, down_s):
+        """Cut the power of all machines; processes are back by turns after a time."""
+        for index, entry in enumerate(self.homes):
+            self.kill_entry(entry, down_s + 0.1 * index)
+        for index, agent in enumerate(self.agents):
+            self.kill_agent(agent, down_s + 0.02 * index)
+            self.crash_worker(agent, down_s)
+
     def crash_worker(self, agent, down_s):
         """Crash a worker; it comes back as another boot, and reports."""
         worker = agent.worker
