--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -317,7 +317,7 @@
         )
         for run in message.runs:
             key = (sender.incarnation, run.number)
-            end = self._refusal_end(key, run, permitted, message.offer)
+            end = self._refusal_end(sender, key, run, permitted)
             if end is not None:
                 refused.append((run.number, end, 0.0))
                 fields = {"number": run.number, "end": end.value}
@@ -439,7 +439,7 @@
 
     # Decisions.
 
-    def _refusal_end(self, key, run, permitted, offer):
+    def _refusal_end(self, sender, key, run, permitted):
         """Return the end to report for a run that must not start, or None."""
         if not permitted or not self.accepting or self._clock_base is None:
             return RunEnd.NO_RESOURCES
@@ -448,7 +448,7 @@
         task = (run.job_id, run.step, run.index)
         if any(local_run.task == task for local_run in self._runs.values()):
             return RunEnd.NO_RESOURCES
-        reserved = self._permissions.offering not in (0, offer)
+        reserved = self._permissions.reserved_from(sender)
         if reserved or not self.free_resources.can_fit(run.resources):
             return RunEnd.NO_RESOURCES
         return None
--- a/ragwortlug/jobs/permissions.py
+++ b/ragwortlug/jobs/permissions.py
@@ -32,6 +32,25 @@
     resources: Resources = field(default_factory=Resources)
 
 
+@dataclass(frozen=True, slots=True)
+class ReservedOffer:
+    """An offer that reserves the free resources until it is answered or expires.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the offer; at least 1.
+    incarnation : str
+        The dispatcher that may use the resources.
+    expires_at : float
+        Monotonic seconds.
+    """
+
+    number: int
+    incarnation: str
+    expires_at: float
+
+
 class Permissions:
     """The permission of each dispatcher, and its best waiting task.
 
@@ -54,8 +73,17 @@
 
     @property
     def offering(self):
-        """Return the number of the offer that reserves the free resources, or 0."""
-        return 0 if self._offer is None else self._offer[0]
+        """Return whether an offer reserves the free resources."""
+        return self._offer is not None
+
+    def reserved_from(self, sender):
+        """Return whether the free resources are reserved for another dispatcher.
+
+        A dispatcher that answers an expired offer may use resources that are on offer
+        to it again. Otherwise one that always answers late would never start a run.
+        """
+        offer = self._offer
+        return offer is not None and offer.incarnation != sender.incarnation
 
     def on_renewed(self, sender, requested_at_ms):
         """Renew the permission that was requested at `requested_at_ms`."""
@@ -122,7 +150,7 @@
                 permission.rank = None
             if permission.expires_at + self._forget_s < now:
                 del self._permissions[incarnation]
-        if self._offer is not None and now > self._offer[1]:
+        if self._offer is not None and now > self._offer.expires_at:
             self._offer = None
 
     def set_waiting_task(self, sender, rank, resources):
@@ -134,7 +162,7 @@
 
     def offer_answered(self, number):
         """Remove the offer if it is the one that was answered."""
-        if self._offer is not None and number == self._offer[0]:
+        if self._offer is not None and number == self._offer.number:
             self._offer = None
 
     def withdraw(self):
@@ -163,5 +191,7 @@
         best = min(candidates, key=lambda permission: permission.rank)
         best.rank = None
         self._next_offer += 1
-        self._offer = (self._next_offer, now + self._offer_s)
+        self._offer = ReservedOffer(
+            self._next_offer, best.peer.incarnation, now + self._offer_s
+        )
         return [Send(best.peer, Offer(self._next_offer, free_resources))]
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -77,6 +77,24 @@
         assert messages(effects, RunsEnded) == [(SENDER, RunsEnded((), ROOM))]
         assert agent.on_start_runs(OTHER, StartRuns(10_000, ()), 10.2) == []
 
+    def test_a_late_answer_may_use_what_is_on_offer_to_its_sender(self):
+        agent, effects = self._end_a_run_while_another_dispatcher_waits()
+        ((_, first),) = messages(effects, Offer)
+        agent.on_wants(OTHER, Wants(RANK, RUN.resources), 10.2)
+        ((receiver, second),) = messages(agent.tick(10.25), Offer)
+        assert receiver == OTHER
+        assert second.number != first.number
+        answer = StartRuns(10_000, (RUN,), first.number)
+        effects = agent.on_start_runs(OTHER, answer, 10.26)
+        assert messages(effects, RunsEnded) == []
+        assert agent.running == 1
+
+    def test_resources_on_offer_are_kept_from_others(self):
+        agent, _ = self._end_a_run_while_another_dispatcher_waits()
+        run = Run(2, RUN.job_id, 0, 1, 1, "text", RUN.resources, 100.0)
+        refused = refusal(agent.on_start_runs(SENDER, StartRuns(10_000, (run,)), 10.1))
+        assert refused.ends == ((2, RunEnd.NO_RESOURCES, 0.0),)
+
     @staticmethod
     def _end_a_run_while_another_dispatcher_waits():
         """Return an agent, and the effects of the end of a run of `SENDER`."""
