--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -365,26 +365,28 @@
     def _refuse_late_jobs(self, service, now):
         """Refuse the late jobs that can't start before it is too late for them.
 
-        Jobs with an assigned task are kept.
+        Jobs with an assigned task are kept. Callers that are refused may return one
+        after the other, each once the work of those before it can have started.
         """
-        late = [
-            record
-            for rank, record in self._waiting.ranked(service, now)
-            if rank.misses_objective
-        ]
+        ranked = self._waiting.ranked(service, now)
+        late = [record for rank, record in ranked if rank.misses_objective]
         late_work = self._late_work.setdefault(service, LateWork())
         late_work.update(bool(late), now)
         effects = []
-        work_ahead = 0.0
+        all_work = sum(record.remaining_work() for _, record in ranked)
+        late_work_ahead = 0.0
         for record in late:
-            starts_at = now + late_work.wait_s(work_ahead)
+            starts_at = now + late_work.wait_s(late_work_ahead)
             path_ms = record.remaining_path_ms(now)
-            if not record.ever_assigned and misses_deadline(
+            if record.ever_assigned or not misses_deadline(
                 path_ms, record.deadline, starts_at
             ):
-                effects += self._finish_job(record, Code.DEADLINE_UNREACHABLE, now)
-            else:
-                work_ahead += record.remaining_work()
+                late_work_ahead += record.remaining_work()
+                continue
+            retry_after_s = late_work.retry_after_s(all_work)
+            all_work += record.remaining_work()
+            code = Code.DEADLINE_UNREACHABLE
+            effects += self._finish_job(record, code, now, retry_after_s)
         return effects
 
     def _run_ended(self, worker, number, end, run_ms, now):
@@ -410,8 +412,11 @@
             return effects + self._finish_job(record, Code.JOB_FAILED, now)
         return effects
 
-    def _finish_job(self, record, code, now):
-        """Answer a job's requests and stop its remaining runs."""
+    def _finish_job(self, record, code, now, retry_after_s=None):
+        """Answer a job's requests and stop its remaining runs.
+
+        `retry_after_s` overrides the time after which refused callers may return.
+        """
         if code is Code.OK:
             check(Invariant.ANSWER_WHOLE, record.done, id=record.job.id)
         if code.verdict is Verdict.NOT_RUN:
@@ -419,8 +424,10 @@
                 Invariant.NOT_RUN_TRUE,
                 not record.ever_assigned or code is Code.CANCELLED,
             )
+        if retry_after_s is None:
+            retry_after_s = _retry_after_s(code)
         answers = [
-            RequestAnswer(request_id, record.job.id, code, _retry_after_s(code))
+            RequestAnswer(request_id, record.job.id, code, retry_after_s)
             for request_id in record.requests
         ]
         finished = events.job_finished(record, code, now)
--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -14,18 +14,21 @@
 from dataclasses import astuple, dataclass
 from unittest.mock import patch
 
+import msgspec
+
 from ragwortlug.codes import Code
-from ragwortlug.jobs import waiting_jobs
+from ragwortlug.jobs import dispatcher, waiting_jobs
 from ragwortlug.jobs.demand_notifier import DemandNotifier
 from ragwortlug.jobs.dispatcher import Dispatcher
 from ragwortlug.jobs.leased import LeasedRunner
+from ragwortlug.jobs.permissions import Permissions
 from ragwortlug.jobs.run_feedback import RunFeedback
 from ragwortlug.lease_messages import RunsEnded, StartRuns
 from ragwortlug.policy.health import WorkerHealth
 from ragwortlug.policy.job_ranking import job_rank
-from ragwortlug.policy.known_workers import KnownWorker, KnownWorkers
+from ragwortlug.policy.known_workers import KnownWorkers
 from ragwortlug.policy.run_time_estimator import RunTimeEstimator
-from ragwortlug.restartable_model import Rank, Resources, RunEnd
+from ragwortlug.restartable_model import Resources, RunEnd
 from tests.play import Faults, Play
 
 ENTRIES = 4
@@ -56,6 +59,8 @@
         second 3 to 8.
     power_loss_s : float
         Duration of a loss of all power at second 8; 0 for none.
+    slow_entry_s : float
+        Time after which one entry handles each message.
     """
 
     rate: float = 1.0
@@ -64,6 +69,7 @@
     slow: int = 0
     failing: int = 0
     power_loss_s: float = 0.0
+    slow_entry_s: float = 0.0
 
 
 LOADS = {
@@ -71,6 +77,7 @@
     "burst": Load(burst=1.8),
     "power loss": Load(power_loss_s=1.6),
     "slow workers": Load(rate=0.8, slow=2),
+    "slow entry": Load(burst=1.5, slow_entry_s=0.1),
     "failing workers": Load(rate=0.8, fail=0.01, failing=1),
 }
 
@@ -108,6 +115,8 @@
         played.at(at_s, lambda job=job: _submit(played, ids, *job))
     if load.power_loss_s:
         played.at(8.0, lambda: played.power_off(load.power_loss_s))
+    if load.slow_entry_s:
+        played.slow_down(played.homes[0], load.slow_entry_s)
     for agent in played.agents[: load.slow]:
         usual = agent.worker.speed
         played.at(3.0, lambda w=agent.worker, s=usual / 7: setattr(w, "speed", s))
@@ -207,24 +216,22 @@
 
 def _rank_without(**replaced):
     """Return a ranking function in which some fields of the rank are constant."""
+    return lambda *arguments: msgspec.structs.replace(job_rank(*arguments), **replaced)
 
-    def rank(*arguments):
-        fields = dict(
-            zip(Rank.__struct_fields__, astuple_rank(job_rank(*arguments)), strict=True)
-        )
-        return Rank(**(fields | replaced))
 
-    return rank
+def _offer_beside_report(runner, effects, now):
+    """Report resources as free although they are offered, as before."""
+    return effects + runner._offer_resources(now)
 
 
-def astuple_rank(rank):
-    """Return the fields of a rank as a tuple."""
-    return tuple(getattr(rank, name) for name in Rank.__struct_fields__)
+def _reserved_even_from_receiver(permissions, _sender):
+    """Reserve offered resources for the answer to the latest offer only, as before."""
+    return permissions.offering
 
 
-def _offer_beside_report(runner, effects, now):
-    """Report resources as free although they are offered, as before."""
-    return effects + runner._offer_resources(now)
+def _assignment_without_demand(requested_at_ms, runs, offer=0, *demand):
+    """Leave out the waiting work except in answers to offers, as before."""
+    return StartRuns(requested_at_ms, runs, offer, *(demand if offer else ()))
 
 
 MECHANISMS = {
@@ -243,7 +250,10 @@
         (LeasedRunner, "_offer_then_report", _offer_beside_report),
     ),
     "remainders reported": ((LeasedRunner, "_report_remainder", lambda _: []),),
-    "demand with assignments": ((KnownWorker, "on_demand_sent", lambda *_: None),),
+    "late answers to offers": (
+        (Permissions, "reserved_from", _reserved_even_from_receiver),
+    ),
+    "demand with assignments": ((dispatcher, "StartRuns", _assignment_without_demand),),
     "offers at all": (
         (LeasedRunner, "_offer_resources", lambda *_: []),
         (DemandNotifier, "notify", lambda *_: []),
@@ -255,7 +265,7 @@
 }
 
 
-def _play_without(mechanism, load, seed):
+def play_without(mechanism, load, seed):
     """Play a load with a mechanism switched off, or with all if it is empty."""
     with contextlib.ExitStack() as stack:
         for owner, name, replacement in MECHANISMS.get(mechanism, ()):
@@ -278,7 +288,7 @@
             print(f"{load}: without ({header})")
             for mechanism in mechanisms:
                 plays = [
-                    pool.submit(_play_without, mechanism, load, seed)
+                    pool.submit(play_without, mechanism, load, seed)
                     for seed in range(1, parsed.seeds + 1)
                 ]
                 columns = zip(*(astuple(each.result()) for each in plays), strict=True)
--- a/tests/play.py
+++ b/tests/play.py
@@ -291,6 +291,13 @@
             self.kill_agent(agent, down_s + 0.02 * index)
             self.crash_worker(agent, down_s)
 
+    def slow_down(self, entry, delay_s):
+        """Let an entry handle each message only after a time."""
+        receive = entry.receive
+        entry.receive = lambda sender, message: self.at(
+            delay_s, lambda: receive(sender, message)
+        )
+
     def crash_worker(self, agent, down_s):
         """Crash a worker; it comes back as another boot, and reports."""
         worker = agent.worker
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,6 +11,7 @@
 from ragwortlug.policy.job_ranking import job_rank, misses_deadline
 from ragwortlug.policy.known_workers import KnownWorkers
 from ragwortlug.restartable_model import Rank
+from tests.ablation import play_without
 from tests.play import Play, arrivals
 
 RATES = (17.2, 3.12, 50.0)
@@ -103,3 +104,29 @@
         )
         theirs = sum(play_load(each, 0.8, slow=2).benefit() for each in SEEDS)
         assert ours > theirs
+
+
+class TestOffers:
+    """Resources are offered to the best waiting task, and to nobody else meanwhile."""
+
+    def test_reports_of_offered_resources_cost_callers_time(self):
+        ours = play_without("", "burst", 1)
+        theirs = play_without("offers before reports", "burst", 1)
+        assert ours.refused < theirs.refused
+        assert ours.in_time > theirs.in_time
+
+    def test_an_entry_that_answers_late_is_served(self):
+        ours = play_without("", "slow entry", 1)
+        theirs = play_without("late answers to offers", "slow entry", 1)
+        assert ours.refused < theirs.refused
+        assert ours.unserved < theirs.unserved
+
+
+class TestForecast:
+    """Who can't be served is refused before half of its time limit has passed."""
+
+    def test_callers_are_not_held_for_most_of_their_limit(self):
+        ours = play_without("", "burst", 2)
+        theirs = play_without("late jobs refused by forecast", "burst", 2)
+        assert ours.held < 0.5 < theirs.held
+        assert ours.in_time >= theirs.in_time
