--- a/ragwortlug/platform/program.py
+++ b/ragwortlug/platform/program.py
@@ -2,6 +2,7 @@
 
 import argparse
 import dataclasses
+import faulthandler
 import importlib
 import sys
 
@@ -36,6 +37,8 @@
         help="tcp://IP:PORT where messages are taken, if others reach another address",
     )
     parsed = parser.parse_args(arguments)
+    # A crash in native code writes the Python stack to standard error.
+    faulthandler.enable()
     translate_settings, root_module = PROGRAMS[parsed.role]
     compose = importlib.import_module(root_module).compose
     try:
