Count a job as begun only if a task may have started

Refused assignments counted as begun before: such jobs went first and were kept until their callers' deadlines.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -86,9 +86,9 @@
         """Return whether callers should use another entry."""
         return self._load_shedder.saturated
 
-    def unassigned_jobs(self, queue_name):
+    def unstarted_jobs(self, queue_name):
         """Return the number of a queue's jobs without an assigned task."""
-        return self._dispatcher.unassigned_jobs(queue_name)
+        return self._dispatcher.unstarted_jobs(queue_name)
 
     async def start(self):
         """Start handling messages and periodic ticks."""
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -38,7 +38,7 @@
     """Return the event of a job for which no caller waits any more."""
     fields = {
         "elapsed_ms": whole_ms(now - record.arrived),
-        "begun": record.ever_assigned,
+        "begun": record.begun,
     }
     return Event(EventName.JOB_ABANDONED, record.job.id, fields)
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -99,12 +99,12 @@
         """Return the version of the configuration in force, or 0."""
         return 0 if self._orders.table is None else self._orders.table.version
 
-    def unassigned_jobs(self, queue_name):
-        """Return the number of a queue's jobs without any assigned task so far."""
+    def unstarted_jobs(self, queue_name):
+        """Return the number of a queue's jobs of which no task may have started."""
         return sum(
             1
             for record in self._records.values()
-            if record.queue.name == queue_name and not record.ever_assigned
+            if record.queue.name == queue_name and not record.begun
         )
 
     def has_job(self, job_id):
@@ -353,10 +353,9 @@
     def _check_deadline(self, record, now):
         """Finish a job that can no longer end before its deadline."""
         if now >= record.deadline:
-            ran = record.ever_assigned
-            code = Code.LEASE_ENDED if ran else Code.DEADLINE_PASSED
+            code = Code.LEASE_ENDED if record.begun else Code.DEADLINE_PASSED
             return self._finish_job(record, code, now)
-        if record.ever_assigned:
+        if record.begun:
             return []
         if self._misses_deadline(record, record.remaining_path_ms(now), now):
             return self._finish_job(record, Code.DEADLINE_UNREACHABLE, now)
@@ -365,7 +364,7 @@
     def _refuse_late_jobs(self, service, now):
         """Refuse the late jobs that can't start before it is too late for them.
 
-        Jobs with an assigned task are kept. Callers that are refused may return one
+        Jobs that may have started are kept. Callers that are refused may return one
         after the other, each once the work of those before it can have started.
         """
         ranked = self._waiting.ranked(service, now)
@@ -378,9 +377,7 @@
         for record in late:
             starts_at = now + late_work.wait_s(late_work_ahead)
             path_ms = record.remaining_path_ms(now)
-            if record.ever_assigned or not misses_deadline(
-                path_ms, record.deadline, starts_at
-            ):
+            if record.begun or not misses_deadline(path_ms, record.deadline, starts_at):
                 late_work_ahead += record.remaining_work()
                 continue
             retry_after_s = late_work.retry_after_s(all_work)
@@ -422,7 +419,7 @@
         if code.verdict is Verdict.NOT_RUN:
             check(
                 Invariant.NOT_RUN_TRUE,
-                not record.ever_assigned or code is Code.CANCELLED,
+                not record.begun or code is Code.CANCELLED,
             )
         if retry_after_s is None:
             retry_after_s = _retry_after_s(code)
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -426,7 +426,8 @@
         ):
             self._next_snapshot_at = now + SNAPSHOT_RETRY_INTERVAL_S
             effects.append(RequestSnapshot())
-        return effects + self._offer_resources(now)
+        effects += self._offer_resources(now)
+        return effects + self._report_remainder()
 
     def active_dispatchers(self):
         """Return the addresses of dispatchers with runs here."""
--- a/ragwortlug/jobs/restartable.py
+++ b/ragwortlug/jobs/restartable.py
@@ -84,8 +84,8 @@
         self.arrived = arrived
         self.deadline = deadline
         self.objective_at = objective_at
-        self.ever_assigned = False
-        self.may_have_run = False
+        self._assigned = 0
+        self._may_have_run = False
         self.requests = set()
 
     @property
@@ -93,6 +93,11 @@
         """Return whether every task has succeeded."""
         return not any(self._remaining)
 
+    @property
+    def begun(self):
+        """Return whether a task may have started; refused assignments don't count."""
+        return self._may_have_run or self._assigned > 0
+
     @property
     def tasks(self):
         """Return all tasks."""
@@ -144,12 +149,13 @@
         task.number = number
         task.agent = agent
         task.assigned_at = now
-        self.ever_assigned = True
+        self._assigned += 1
 
     def end_run(self, task, end, run_ms=0.0):
         """Record how the run of a task ended, and its run time in milliseconds."""
         check(Invariant.ONE_RUN, task.state is RunState.ASSIGNED, state=task.state)
-        self.may_have_run |= end.may_have_run
+        self._assigned -= 1
+        self._may_have_run |= end.may_have_run
         if end is RunEnd.DONE:
             task.state = RunState.DONE
             task.run_ms = round(run_ms)
--- a/ragwortlug/jobs/waiting_jobs.py
+++ b/ragwortlug/jobs/waiting_jobs.py
@@ -40,7 +40,7 @@
         for record in self._records.get(service, {}).values():
             rank = job_rank(
                 record.queue.priority,
-                record.ever_assigned,
+                record.begun,
                 record.remaining_work(),
                 record.remaining_path_ms(now),
                 record.objective_at,
--- a/ragwortlug/platform/callers.py
+++ b/ragwortlug/platform/callers.py
@@ -102,7 +102,7 @@
         queue, job_id = self._match_queue(request)
         if job_id:
             return self._close_if_shedding(web.Response(status=410))
-        pending = self._dispatcher.unassigned_jobs(queue.name)
+        pending = self._dispatcher.unstarted_jobs(queue.name)
         return self._close_if_shedding(json_response({"pending": pending}))
 
     async def _on_delete(self, request):
--- a/ragwortlug/policy/job_ranking.py
+++ b/ragwortlug/policy/job_ranking.py
@@ -19,17 +19,15 @@
     return queue.stretch * critical_path_ms + queue.slack_ms
 
 
-def job_rank(
-    priority, ever_assigned, remaining_work, remaining_path_ms, objective_at, now
-):
+def job_rank(priority, begun, remaining_work, remaining_path_ms, objective_at, now):
     """Return the place of a job in the order of work, as a `Rank`.
 
     Parameters
     ----------
     priority : int
         The priority of the job's queue; 0 comes first.
-    ever_assigned : bool
-        Whether a task of the job has started.
+    begun : bool
+        Whether a task of the job may have started.
     remaining_work : float
         Core-milliseconds of the tasks that have not ended.
     remaining_path_ms : float
@@ -38,7 +36,7 @@
         Monotonic seconds at which the objective is missed, and the current time.
     """
     misses_objective = now + remaining_path_ms / MS_PER_S > objective_at
-    return Rank(misses_objective, priority, not ever_assigned, remaining_work)
+    return Rank(misses_objective, priority, not begun, remaining_work)
 
 
 def misses_deadline(remaining_path_ms, deadline_at, now):
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -223,13 +223,13 @@
         Whether the job can no longer meet its latency objective.
     priority : int
         The queue's priority; lower values are served first, 0 before all others.
-    unassigned : bool
-        Whether none of its tasks has ever been assigned.
+    unstarted : bool
+        Whether none of its tasks may have started.
     remaining_work : float
         Core-milliseconds of its tasks that have not ended.
     """
 
     misses_objective: bool
     priority: int
-    unassigned: bool
+    unstarted: bool
     remaining_work: float
--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -239,7 +239,7 @@
         (waiting_jobs, "job_rank", _rank_without(misses_objective=False)),
     ),
     "priorities": ((waiting_jobs, "job_rank", _rank_without(priority=0)),),
-    "begun jobs first": ((waiting_jobs, "job_rank", _rank_without(unassigned=False)),),
+    "begun jobs first": ((waiting_jobs, "job_rank", _rank_without(unstarted=False)),),
     "least work first": (
         (waiting_jobs, "job_rank", _rank_without(remaining_work=0.0)),
     ),
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,8 +2,9 @@
 
 import random
 
+from ragwortlug.codes import Code, Verdict
 from ragwortlug.envelope import Peer, Send
-from ragwortlug.jobs.dispatcher import Dispatcher
+from ragwortlug.jobs.dispatcher import Dispatcher, RequestAnswer
 from ragwortlug.lease_messages import Renewal, RunsEnded, StartRuns
 from ragwortlug.lease_settings import RestartSettings
 from ragwortlug.restartable_model import (
@@ -41,6 +42,29 @@
         assert [each.index for each in last] == [1]
 
 
+class TestRefusals:
+    """Jobs of which nothing has started are refused as not run."""
+
+    def test_a_job_whose_assignments_were_refused_has_not_run(self):
+        dispatcher = Dispatcher(SETTINGS, random.Random(1))
+        agent = Peer("tcp://10.1.0.1:7720", "agent-1")
+        room = Resources(6000, 64, 0)
+        state = WorkerState("carving", "patan", (), room, room, True)
+        dispatcher.on_renewal(agent, Renewal(0, state), 0.0)
+        job = RestartableJob("00c0ffee00c0ffee", "text", (Step(1, room, 100),))
+        queue = Queue("q", "a.example", "/q/", "carving")
+        (run,) = _ordered(dispatcher.submit("r1", job, queue, 0.5, 0.0))
+        refused = RunsEnded(((run.number, RunEnd.NO_RESOURCES, 0.0),), Resources())
+        assert dispatcher.unstarted_jobs("q") == 0
+        dispatcher.on_runs_ended(agent, refused, 0.1)
+        assert dispatcher.unstarted_jobs("q") == 1
+        (answer,) = [
+            each for each in dispatcher.tick(0.45) if isinstance(each, RequestAnswer)
+        ]
+        assert answer.code is Code.DEADLINE_UNREACHABLE
+        assert answer.code.verdict is Verdict.NOT_RUN
+
+
 class TestDemand:
     """What agents are told of the work that waits."""
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -40,7 +40,7 @@
 
 
 def earliest_objective(
-    _priority, _ever_assigned, _remaining_work, _remaining_path_ms, objective_at, _now
+    _priority, _begun, _remaining_work, _remaining_path_ms, objective_at, _now
 ):
     """Return the rank of a job by the time at which it misses its objective."""
     return Rank(False, 0, False, objective_at)
