--- a/ragwortlug/platform/callers.py
+++ b/ragwortlug/platform/callers.py
@@ -98,7 +98,7 @@
         return self._close_if_shedding(json_response({"state": state}))
 
     async def _on_get(self, request):
-        """Return the number of unassigned jobs of a queue; 410 for a single job."""
+        """Return the number of unstarted jobs of a queue; 410 for a single job."""
         queue, job_id = self._match_queue(request)
         if job_id:
             return self._close_if_shedding(web.Response(status=410))
