--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -173,7 +173,8 @@
         """Update load shedding and the known entries, then run periodic work."""
         now = self._timer.monotonic()
         previous_limit = self._load_shedder.limit_per_s
-        self._load_shedder.on_tick(now)
+        round_trip_s = self._dispatcher.workers.median_round_trip_s(now)
+        self._load_shedder.on_tick(now, round_trip_s)
         self._write_limit_change(previous_limit)
         self._dispatcher.set_entries(self._gossip.entries)
         self._perform(self._dispatcher.tick(now))
--- a/ragwortlug/jobs/dispatchers.py
+++ b/ragwortlug/jobs/dispatchers.py
@@ -31,6 +31,9 @@
         When the first request without an answer was sent.
     connected_at : float
         When a new connection was last requested; at least `unanswered_since`.
+    round_trip_s : float
+        Seconds from the latest request to its answer; 0 if the request had to wait
+        for a connection.
     """
 
     rendezvous_hash: bytes
@@ -38,6 +41,7 @@
     last_request_at: float = float("-inf")
     unanswered_since: float | None = None
     connected_at: float = 0.0
+    round_trip_s: float = 0.0
 
     def unanswered_s(self, now):
         """Return for how many seconds requests have had no answer."""
@@ -80,10 +84,20 @@
         if new:
             self._sort_by_rank()
 
-    def on_renewed(self, address, now):
-        """Record the time of a dispatcher's answer."""
+    def round_trip_ms(self, address):
+        """Return the whole ms that a dispatcher's latest answer took; 0 if unknown."""
+        dispatcher = self._known.get(address)
+        return 0 if dispatcher is None else int(dispatcher.round_trip_s * MS_PER_S)
+
+    def on_renewed(self, address, requested_at_ms, now):
+        """Record a dispatcher's answer to the request of `requested_at_ms`."""
         self.add_addresses((address,))
         dispatcher = self._known[address]
+        requested_at = requested_at_ms / MS_PER_S
+        is_connected = 0.0 < dispatcher.last_contact_at and (
+            now - dispatcher.last_contact_at <= ANSWER_TIMEOUT_S
+        )
+        dispatcher.round_trip_s = now - requested_at if is_connected else 0.0
         dispatcher.last_contact_at = now
         dispatcher.unanswered_since = None
 
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -378,14 +378,18 @@
         self._permissions.set_waiting_task(sender, message.rank, message.resources)
         return self._offer_resources(now)
 
-    def build_renewal(self, address, now):
-        """Return the request for a renewal to the dispatcher at an address."""
+    def build_renewal(self, address, round_trip_ms, now):
+        """Return the request for a renewal to the dispatcher at an address.
+
+        `round_trip_ms` says how long the latest renewal took; 0 if unknown.
+        """
         assignment_numbers = tuple(
             key[1]
             for key, local_run in self._runs.items()
             if local_run.dispatcher.address == address
         )
-        return Renewal(int(now * MS_PER_S), self.state(), assignment_numbers)
+        requested_at_ms = int(now * MS_PER_S)
+        return Renewal(requested_at_ms, self.state(), assignment_numbers, round_trip_ms)
 
     def state(self):
         """Return the worker state that is sent to dispatchers, or None."""
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -16,12 +16,14 @@
 
     `requested_at_ms` is read from the sender's steady clock. `worker` is None if the
     agent has none. `assignment_numbers` are the receiver's assignments whose runs
-    have not ended.
+    have not ended. `round_trip_ms` is the time from the sender's latest answered
+    request to the receiver's answer; 0 if it is not known.
     """
 
     requested_at_ms: int
     worker: WorkerState | None
     assignment_numbers: tuple[int, ...] = ()
+    round_trip_ms: int = 0
 
 
 class Renewed(Message):
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -193,7 +193,7 @@
             self._silent.discard(sender.address)
             fields = {"dispatcher": sender.address}
             self._journal.write_event(EventName.DISPATCHER_ANSWERS, **fields)
-        self._dispatchers.on_renewed(sender.address, now)
+        self._dispatchers.on_renewed(sender.address, message.requested_at_ms, now)
         self.add_addresses(message.entries)
         return self._runner.on_renewed(sender, message, now)
 
@@ -217,7 +217,9 @@
                 self._silent.add(address)
                 fields = {"dispatcher": address, "runs": self._runner.running}
                 self._journal.write_event(EventName.DISPATCHER_SILENT, **fields)
-        self._peers.send(Peer(address), self._runner.build_renewal(address, now))
+        round_trip_ms = self._dispatchers.round_trip_ms(address)
+        renewal = self._runner.build_renewal(address, round_trip_ms, now)
+        self._peers.send(Peer(address), renewal)
 
     # Effects.
 
--- a/ragwortlug/policy/known_workers.py
+++ b/ragwortlug/policy/known_workers.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import statistics
 from dataclasses import dataclass, field
 
 from ragwortlug.envelope import Peer
@@ -53,6 +54,8 @@
         Recent assignments: monotonic seconds and required resources.
     notified, notified_at : bool, float
         Whether the agent was notified that work waits, and when it last was.
+    round_trip_ms : int
+        How long the agent's latest renewal took; 0 if unknown.
     sent_entries, entries_sent_at : tuple of str, float
         The addresses of entries last sent to the agent, and when.
     """
@@ -71,6 +74,7 @@
     )
     notified: bool = False
     notified_at: float = 0.0
+    round_trip_ms: int = 0
     sent_entries: tuple = ()
     entries_sent_at: float = float("-inf")
 
@@ -181,6 +185,7 @@
         worker.requested_at_ms = message.requested_at_ms
         worker.last_contact_at = now
         worker.renewed_at = now
+        worker.round_trip_ms = message.round_trip_ms
         if message.worker is not None:
             worker.on_free_reported(message.worker.free_resources, now)
         return worker
@@ -201,6 +206,18 @@
             del self._workers[worker.peer.incarnation]
         return expired
 
+    def median_round_trip_s(self, now):
+        """Return the median duration of the agents' renewals in seconds, or 0.
+
+        Agents without recent contact are left out.
+        """
+        round_trips = [
+            worker.round_trip_ms
+            for worker in self._workers.values()
+            if self._is_recently_contacted(worker, now)
+        ]
+        return statistics.median(round_trips) / MS_PER_S if round_trips else 0.0
+
     def serving(self, service, now):
         """Return the workers that runs of a service may be assigned to."""
         return [
--- a/ragwortlug/policy/overload.py
+++ b/ragwortlug/policy/overload.py
@@ -8,7 +8,9 @@
 Periodic ticks that stay late show that work waits in the loop. The entry then limits
 the rate at which it admits jobs, to below the rate at which the queue built up. The
 limit rises slowly while ticks are on time. Other jobs are refused at once, which costs
-a tenth of handling them. If refusals continue, the load balancer is told to send
+a tenth of handling them. Where the link is the bottleneck, ticks are on time and
+messages wait to be sent: round trips to agents beyond the usual count as lag too,
+since assignments that arrive too late are refused and would be sent again. If refusals continue, the load balancer is told to send
 callers to other entries. A single late tick is ignored, since the process may have been
 paused.
 """
@@ -16,6 +18,8 @@
 LAG_THRESHOLD_S = 0.025
 # At this lag no job is admitted at all until the queue is shorter.
 SEVERE_LAG_S = 0.1
+# Round trips between data centres far apart, with some work at both ends.
+MAX_ROUND_TRIP_S = 0.05
 BACKOFF_FACTOR = 0.7
 # A lower limit affects the ticks only after the work admitted before it is done.
 BACKOFF_INTERVAL_S = 0.3
@@ -35,7 +39,7 @@
 
 
 class LoadShedder:
-    """Limits the rate of admitted tasks by the lag of one process's ticks.
+    """Limits the rate of admitted tasks by the lag of one process.
 
     Parameters
     ----------
@@ -60,7 +64,7 @@
 
     @property
     def lag_s(self):
-        """Return the lag in seconds: the smaller one of the last two ticks."""
+        """Return the lag in seconds: the smaller one at the last two ticks."""
         return min(self._lag_s, self._previous_lag_s)
 
     @property
@@ -83,12 +87,21 @@
         self._admitted += tasks
         return True
 
-    def on_tick(self, now):
-        """Update the lag and the rate limit; `now` is in monotonic seconds."""
+    def on_tick(self, now, round_trip_s=0.0):
+        """Update the lag and the rate limit.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        round_trip_s : float
+            How long a message to an agent and its answer take, in seconds.
+        """
         if self._ticked_at is not None:
             elapsed_s = now - self._ticked_at
             self._previous_lag_s = self._lag_s
-            self._lag_s = max(0.0, elapsed_s - self._period_s)
+            tick_lag_s = elapsed_s - self._period_s
+            self._lag_s = max(0.0, tick_lag_s, round_trip_s - MAX_ROUND_TRIP_S)
             self._update_rates(elapsed_s)
             self._update_limit(elapsed_s, now)
         self._ticked_at = now
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -93,7 +93,7 @@
     def ask(self, home):
         """Ask one dispatcher for a renewal."""
         self.told[home.name] = self.play.now
-        renewal = self.runner.build_renewal(home.name, self.play.now)
+        renewal = self.runner.build_renewal(home.name, 0, self.play.now)
         self.play.send(self, Peer(home.name), renewal)
 
     def watch(self, boot):
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -30,7 +30,7 @@
     for address in due:
         dispatchers.record_request(address, now)
         if address not in silent:
-            dispatchers.on_renewed(address, now)
+            dispatchers.on_renewed(address, int(now * 1000), now)
     return due
 
 
@@ -66,7 +66,7 @@
         kept = dispatchers.selected(now)
         assert silent in kept
         assert len(kept) == 4
-        dispatchers.on_renewed(silent, now)
+        dispatchers.on_renewed(silent, int(now * 1000), now)
         assert len(dispatchers.selected(now)) == 3
 
     def test_one_that_was_not_asked_is_not_silent(self):
@@ -99,9 +99,19 @@
             renewed.append(dispatchers.record_request(address, now))
             now += BUSY_S
         assert 2 <= sum(renewed) <= 4
-        dispatchers.on_renewed(address, now)
+        dispatchers.on_renewed(address, int(now * 1000), now)
         assert not dispatchers.record_request(address, now + 0.01)
 
+    def test_the_first_answer_on_a_connection_gives_no_round_trip(self):
+        dispatchers = known(1)
+        (address,) = addresses(1)
+        dispatchers.on_renewed(address, 5_000, 5.4)
+        assert dispatchers.round_trip_ms(address) == 0
+        dispatchers.on_renewed(address, 5_500, 5.75)
+        assert dispatchers.round_trip_ms(address) == 250
+        dispatchers.on_renewed(address, 6_000, 7.5)
+        assert dispatchers.round_trip_ms(address) == 0
+
     def test_one_that_is_gone_is_forgotten(self):
         dispatchers = known(4)
         gone = converse(dispatchers, 0.0)[0]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from ragwortlug.policy.overload import LoadShedder
+from ragwortlug.policy.overload import MAX_ROUND_TRIP_S, LoadShedder
 
 TICK_S = 0.05
 SUBMIT_S, ENDS_S, REFUSAL_S = 0.0015, 0.0025, 0.0004
@@ -151,3 +151,25 @@
             overload.on_tick(now)
         assert overload.limit_per_s is None
         assert not overload.saturated
+
+
+class TestRoundTrips:
+    """An entry whose messages wait for its link, while its ticks are on time."""
+
+    def test_long_round_trips_limit_what_is_admitted(self):
+        shedder = LoadShedder(TICK_S)
+        limits = []
+        for step in range(20):
+            shedder.admit(10)
+            shedder.on_tick(step * TICK_S, 0.3)
+            limits.append(shedder.limit_per_s)
+        assert limits[0] is None
+        assert limits[-1] is not None
+        assert not shedder.admit(1)
+
+    def test_usual_round_trips_limit_nothing(self):
+        shedder = LoadShedder(TICK_S)
+        for step in range(20):
+            assert shedder.admit(10)
+            shedder.on_tick(step * TICK_S, MAX_ROUND_TRIP_S)
+        assert shedder.limit_per_s is None
