--- a/ragwortlug/jobs/dispatchers.py
+++ b/ragwortlug/jobs/dispatchers.py
@@ -94,7 +94,7 @@
         self.add_addresses((address,))
         dispatcher = self._known[address]
         requested_at = requested_at_ms / MS_PER_S
-        is_connected = 0.0 < dispatcher.last_contact_at and (
+        is_connected = dispatcher.last_contact_at > 0.0 and (
             now - dispatcher.last_contact_at <= ANSWER_TIMEOUT_S
         )
         dispatcher.round_trip_s = now - requested_at if is_connected else 0.0
--- a/ragwortlug/policy/overload.py
+++ b/ragwortlug/policy/overload.py
@@ -10,9 +10,9 @@
 limit rises slowly while ticks are on time. Other jobs are refused at once, which costs
 a tenth of handling them. Where the link is the bottleneck, ticks are on time and
 messages wait to be sent: round trips to agents beyond the usual count as lag too,
-since assignments that arrive too late are refused and would be sent again. If refusals continue, the load balancer is told to send
-callers to other entries. A single late tick is ignored, since the process may have been
-paused.
+since assignments that arrive too late are refused and would be sent again. If refusals
+continue, the load balancer is told to send callers to other entries. A single late tick
+is ignored, since the process may have been paused.
 """
 
 LAG_THRESHOLD_S = 0.025
