--- a/ragwortlug/jobs/dispatchers.py
+++ b/ragwortlug/jobs/dispatchers.py
@@ -32,8 +32,10 @@
     connected_at : float
         When a new connection was last requested; at least `unanswered_since`.
     round_trip_s : float
-        Seconds from the latest request to its answer; 0 if the request had to wait
-        for a connection.
+        Seconds from the latest answered request to its answer; 0 if unknown.
+    answering_since : float
+        When the first answer after a silence came. Requests sent before it may have
+        waited for a connection, so their duration says nothing.
     """
 
     rendezvous_hash: bytes
@@ -42,6 +44,7 @@
     unanswered_since: float | None = None
     connected_at: float = 0.0
     round_trip_s: float = 0.0
+    answering_since: float = 0.0
 
     def unanswered_s(self, now):
         """Return for how many seconds requests have had no answer."""
@@ -93,11 +96,11 @@
         """Record a dispatcher's answer to the request of `requested_at_ms`."""
         self.add_addresses((address,))
         dispatcher = self._known[address]
+        if now - dispatcher.last_contact_at > ANSWER_TIMEOUT_S:
+            dispatcher.answering_since = now
         requested_at = requested_at_ms / MS_PER_S
-        is_connected = dispatcher.last_contact_at > 0.0 and (
-            now - dispatcher.last_contact_at <= ANSWER_TIMEOUT_S
-        )
-        dispatcher.round_trip_s = now - requested_at if is_connected else 0.0
+        is_known = requested_at >= dispatcher.answering_since
+        dispatcher.round_trip_s = now - requested_at if is_known else 0.0
         dispatcher.last_contact_at = now
         dispatcher.unanswered_since = None
 
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -102,11 +102,13 @@
         dispatchers.on_renewed(address, int(now * 1000), now)
         assert not dispatchers.record_request(address, now + 0.01)
 
-    def test_the_first_answer_on_a_connection_gives_no_round_trip(self):
+    def test_requests_that_waited_for_a_connection_give_no_round_trip(self):
         dispatchers = known(1)
         (address,) = addresses(1)
         dispatchers.on_renewed(address, 5_000, 5.4)
         assert dispatchers.round_trip_ms(address) == 0
+        dispatchers.on_renewed(address, 5_200, 5.41)
+        assert dispatchers.round_trip_ms(address) == 0
         dispatchers.on_renewed(address, 5_500, 5.75)
         assert dispatchers.round_trip_ms(address) == 250
         dispatchers.on_renewed(address, 6_000, 7.5)
