--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -485,7 +485,7 @@
         return reports + offers
 
     def _report_remainder(self):
-        """Report what the answered offers have left to those told that it is taken."""
+        """Report the free resources to dispatchers whose latest report omitted them."""
         if self._permissions.offering or not self._uninformed:
             return []
         report = RunsEnded((), self._unreserved())
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -66,7 +66,7 @@
 
 
 class TestDemand:
-    """What agents are told of the work that waits."""
+    """The waiting work that messages to agents describe."""
 
     def test_an_assignment_says_which_work_still_waits(self):
         dispatcher = Dispatcher(SETTINGS, random.Random(1))
