Log a worker's crash with its runs, their ages and what it had acknowledged

An agent's silence, a lease that ended and a worker that ended without notice were all 'lost', so the logs could not tell a task that crashes workers from the runs beside it. The new event worker_crashed names each run of the worker. A worker that drains or has said goodbye is left out.

--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -49,6 +49,7 @@
     WORKER_RESTS = "worker_rests", "A worker is ejected after consecutive failures."
     WORKER_BOOT = "worker_boot", "An agent detected a new boot of its worker."
     WORKER_GONE = "worker_gone", "A boot of a worker ended, and so did its runs."
+    WORKER_CRASHED = "worker_crashed", "A worker ended without notice, with its runs."
     WORKER_SILENT = "worker_silent", "A worker does not answer its agent."
     WORKER_ANSWERS = "worker_answers", "A worker answers its agent again."
 
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -15,6 +15,7 @@
     Phase,
     event_of,
     is_worker_slow,
+    worker_crashed,
 )
 from ragwortlug.jobs.permissions import Permissions
 from ragwortlug.jobs.worker_calls import (
@@ -126,7 +127,7 @@
         older = previous is not None and report.booted_at_ms < previous.booted_at_ms
         if older or report.boot_id == self._ended_boot_id:
             return []
-        effects = self._end_all_as_lost()
+        effects = self._end_all_as_crashed(now)
         self._worker = report
         self._has_snapshot = False
         self._fencing_token = report.booted_at_ms + report.clock_ms
@@ -146,12 +147,16 @@
         """Handle a planned shutdown of the worker."""
         if self._worker is None or self._worker.id != worker_id:
             return []
-        return self.on_replaced()
+        runs = len(self._runs)
+        return self._end_boot(self._end_all_as_lost(), runs)
 
-    def on_replaced(self):
-        """Handle the end of the current boot of the worker."""
+    def on_replaced(self, now):
+        """Handle the end of the current boot of the worker without a notice."""
         runs = len(self._runs)
-        effects = self._end_all_as_lost()
+        return self._end_boot(self._end_all_as_crashed(now), runs)
+
+    def _end_boot(self, effects, runs):
+        """Forget the current boot of the worker, whose `runs` have ended."""
         if self._worker is not None:
             fields = {"worker": self._worker.id, "runs": runs}
             effects.append(Event(EventName.WORKER_GONE, "", fields))
@@ -194,7 +199,7 @@
         if self._worker is None:
             return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
-            return self.on_replaced()
+            return self.on_replaced(now)
         self._last_answer_at = now
         by_run = {
             (local_run.task, local_run.run.attempt): key
@@ -259,7 +264,9 @@
                 Event(EventName.WORKER_SILENT, "", fields),
                 *self._request_renewals(),
             ]
-        if refused or now > self._lease_expires_at:
+        if refused:
+            effects += self._end_all_as_crashed(now)
+        elif now > self._lease_expires_at:
             effects += self._end_all_as_lost()
         return effects
 
@@ -281,7 +288,7 @@
             return [unacknowledged, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
-            return self.on_replaced()
+            return self.on_replaced(now)
         return self._offer_then_report(self._end_run(key, end, now), now)
 
     def on_stop_answered(self, task, attempt, answered, now):
@@ -571,6 +578,16 @@
         message = RunsEnded(((key[1], end, run_ms),), self._unreserved())
         return [Send(local_run.dispatcher, message)]
 
+    def _end_all_as_crashed(self, now):
+        """End all runs as lost after their worker has ended without notice.
+
+        A draining worker has announced its end, which also ends its runs.
+        """
+        if not self._runs or self._worker.draining:
+            return self._end_all_as_lost()
+        crashed = worker_crashed(self._worker, self._runs.values(), now)
+        return [crashed, *self._end_all_as_lost()]
+
     def _end_all_as_lost(self):
         """End all runs as lost, since the worker can no longer run them."""
         effects = []
--- a/ragwortlug/jobs/local_runs.py
+++ b/ragwortlug/jobs/local_runs.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ragwortlug.envelope import Peer
-from ragwortlug.events import Event
+from ragwortlug.events import Event, EventName
 from ragwortlug.restartable_model import Run
 
 MS_PER_S = 1000.0
@@ -55,6 +55,11 @@
         """Return the task's identity: job id, step and index."""
         return (self.run.job_id, self.run.step, self.run.index)
 
+    @property
+    def acknowledged(self):
+        """Return whether the worker has confirmed that the run started."""
+        return self.acknowledged_at is not None
+
     def sample(self, completed_fraction, now):
         """Sample the completed fraction; return whether the speed was updated."""
         elapsed_s = now - self.sampled_at
@@ -106,3 +111,28 @@
         "dispatcher": local_run.dispatcher.address,
     }
     return Event(name, local_run.run.job_id, fields)
+
+
+def worker_crashed(report, runs, now):
+    """Return the event of a worker that ended without notice.
+
+    Parameters
+    ----------
+    report : WorkerReport
+        The latest report of the boot that ended.
+    runs : iterable of LocalRun
+        The runs that ended with it. Those that the worker had not acknowledged were
+        started last.
+    """
+    rows = [
+        {
+            "job": local_run.run.job_id,
+            "task": f"{local_run.run.step}.{local_run.run.index}",
+            "attempt": local_run.run.attempt,
+            "age_ms": round((now - local_run.started_at) * MS_PER_S),
+            "acknowledged": local_run.acknowledged,
+        }
+        for local_run in runs
+    ]
+    fields = {"worker": report.id, "runs": rows}
+    return Event(EventName.WORKER_CRASHED, "", fields)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -1,6 +1,11 @@
 """The leased runner, by its messages."""
 
+import dataclasses
+
+import msgspec
+
 from ragwortlug.envelope import Peer, Send
+from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.leased import LeasedRunner
 from ragwortlug.jobs.worker_calls import (
     ListedRun,
@@ -16,14 +21,14 @@
 SENDER = Peer("tcp://10.1.0.1:7720", "entry-1")
 OTHER = Peer("tcp://10.1.0.3:7720", "entry-2")
 RANK = Rank(False, 0, True, 1.0)
+REPORT = WorkerReport("i-1", 1, 1, "s", "10.1.0.2:80", "patan", (), ROOM, 0)
 RUN = Run(1, "00c0ffee00c0ffee", 0, 0, 1, "text", Resources(6000, 64, 0), 100.0)
 
 
 def runner():
     """Return a runner whose worker is ready at second 10."""
     found = LeasedRunner(RestartSettings())
-    report = WorkerReport("i-1", 1, 1, "s", "10.1.0.2:80", "patan", (), ROOM, 0)
-    found.on_report(report, 10.0)
+    found.on_report(REPORT, 10.0)
     found.on_snapshot(WorkerSnapshot(0, 1, (), ()), 10.0, 10.0)
     return found
 
@@ -117,3 +122,39 @@
         for each in effects
         if isinstance(each, Send) and isinstance(each.body, kind)
     ]
+
+
+class TestCrashes:
+    """A worker that ends without notice is told apart from one that leaves."""
+
+    def crashing(self, draining=False):
+        """Return the events of a refused call with one run acknowledged of two."""
+        agent = runner()
+        agent.on_renewed(SENDER, Renewed(10_000), 10.0)
+        later = msgspec.structs.replace(RUN, number=2, job_id="00c0ffee00c0ffef")
+        agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.0)
+        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.STARTED, 10.01)
+        agent.on_start_runs(SENDER, StartRuns(10_000, (later,)), 10.1)
+        if draining:
+            agent.on_report(
+                dataclasses.replace(REPORT, sequence=2, draining=True), 10.1
+            )
+        effects = agent.on_snapshot_failed(REPORT.boot_id, True, 10.17)
+        return [each for each in effects if isinstance(each, Event)]
+
+    def test_a_refused_call_names_the_runs_and_what_was_acknowledged(self):
+        (crashed,) = [
+            each for each in self.crashing() if each.name is EventName.WORKER_CRASHED
+        ]
+        rows = [
+            (each["job"], each["age_ms"], each["acknowledged"])
+            for each in crashed.fields["runs"]
+        ]
+        assert rows == [
+            ("00c0ffee00c0ffee", 170, True),
+            ("00c0ffee00c0ffef", 70, False),
+        ]
+
+    def test_the_end_of_a_draining_worker_is_no_crash(self):
+        names = [each.name for each in self.crashing(draining=True)]
+        assert EventName.WORKER_CRASHED not in names
