Add plays of tasks that crash their workers; they fail on the current code

In simulated time, eleven workers at half of their capacity, one preview in ten has a task that crashes its worker: one task crashes up to 11 workers, 26 to 44% of the stamps, another queue, are served (183 of 412, 97 of 372, 107 of 363).

--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -176,6 +176,11 @@
             if not self.worker.up or worker_boot != self.worker.boots:
                 answered(StartAnswer.REJECTED)
                 return
+            if self.play.crashes_worker(order.run):
+                self.play.crash_by_run(self, order.run)
+                call_s = self.play.settings.call_ms / 1000
+                self.play.at(call_s, lambda: answered(StartAnswer.NO_ANSWER))
+                return
             answer = self.worker.start(order)
             self.play.at(LOCAL_S, lambda: answered(answer))
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -93,6 +93,10 @@
         self.requests = {}
         self.work = {}
         self.poison = set()
+        # Jobs whose first task crashes each worker that starts it.
+        self.crashing = set()
+        # Moments at which a task has crashed a worker, by task.
+        self.crashes = {}
         self.ran = set()
         self.broken = []
         self._heap = []
@@ -189,6 +193,10 @@
         """Return the work of a run in seconds."""
         return self.work[(run.job_id, run.step, run.index)]
 
+    def crashes_worker(self, run):
+        """Return whether a run crashes its worker when it starts."""
+        return run.job_id in self.crashing and run.index == 0
+
     def outcome(self, run):
         """Return how a run ends if nothing stops it."""
         hopeless = run.job_id in self.poison
@@ -298,6 +306,12 @@
             delay_s, lambda: receive(sender, message)
         )
 
+    def crash_by_run(self, agent, run):
+        """Crash the worker that starts a run."""
+        task = (run.job_id, run.step, run.index)
+        self.crashes.setdefault(task, []).append(self.now)
+        self.crash_worker(agent, self.rng.uniform(3.0, 3.5))
+
     def crash_worker(self, agent, down_s):
         """Crash a worker; it comes back as another boot, and reports."""
         worker = agent.worker
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,72 @@
+"""Plays of tasks that crash the workers that start them."""
+
+import pytest
+
+from ragwortlug.codes import Code
+from tests.play import Faults, Play
+from tests.test_restartable import assert_sound
+
+PREVIEW, STAMP = 0, 2
+FROM_S = 2.0
+UNTIL_S = 12.0
+REST_S = 14.0
+# Crashes under one task after which it must not be started again.
+MAX_CRASHES = 3
+
+
+def play_crashing(seed, share, faults=None, kill_entry_at=None):
+    """Return a play in which a share of the previews crash their workers.
+
+    The load is what eleven workers carry without failures at half of their capacity.
+    """
+    play = Play(seed=seed, faults=faults or Faults()).build()
+    play.run_until(0.5)
+
+    def arrive(kind, rate, tasks, mean_s):
+        if play.now < UNTIL_S:
+            caller = play.hand_in(kind, tasks, mean_s, deadline_s=4.0)
+            if kind == PREVIEW and play.now > FROM_S and play.chance(share):
+                play.crashing.add(caller.job.id)
+            wait_s = play.rng.expovariate(rate)
+            play.at(wait_s, lambda: arrive(kind, rate, tasks, mean_s))
+
+    play.at(0.0, lambda: arrive(PREVIEW, 12.0, 8, 0.12))
+    play.at(0.0, lambda: arrive(STAMP, 36.0, 2, 0.4))
+    if kill_entry_at is not None:
+        play.at(kill_entry_at, lambda: play.kill_entry(play.homes[0], 0.5))
+    play.run_until(UNTIL_S + REST_S)
+    return play
+
+
+class TestTaskThatCrashesWorkers:
+    """A task that crashes each worker that starts it is given up."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_is_not_started_after_three_crashes(self, seed):
+        play = play_crashing(seed, 0.1, kill_entry_at=6.0)
+        counts = {task: len(moments) for task, moments in play.crashes.items()}
+        assert counts
+        assert max(counts.values()) <= MAX_CRASHES, counts
+        assert_sound(play)
+
+    def test_job_with_it_is_failed_and_no_other(self):
+        play = play_crashing(1, 0.03)
+        codes = {
+            each.code for each in play.callers.values() if each.job.id in play.crashing
+        }
+        assert codes == {Code.JOB_FAILED}
+        others = [
+            each for each in play.callers.values() if each.job.id not in play.crashing
+        ]
+        assert Code.JOB_FAILED not in {each.code for each in others}
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_leaves_workers_for_other_queues(self, seed):
+        play = play_crashing(seed, 0.1)
+        stamps = [
+            each
+            for each in play.callers.values()
+            if each.queue.name == "stamp" and each.began > FROM_S
+        ]
+        done = sum(1 for each in stamps if each.code is Code.OK)
+        assert done >= 0.95 * len(stamps), f"{done} of {len(stamps)}"
