Give up a task under which workers crash again and again

Callers of every queue got no answer or a refusal while one task crashed worker after worker. Cause: a run that ends with its worker is 'lost', which max_attempts does not count, so the dispatcher gave the task to the next best worker without bound. Nothing told the task at fault from the runs beside it, and what an entry had seen ended with it. Change: an agent reports each crash of its worker to all its dispatchers, with the age of each run, keeps the last ones and repeats them to a dispatcher that is new. A task is given up after two crashes that followed its start within 30 ms, or three in all; its job fails wherever it is submitted again. The crash is dated by the first call that broke, since the refused call comes 50 ms later.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -9,7 +9,7 @@
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatcher import RequestAnswer
-from ragwortlug.lease_messages import Offer, Progress, Renewal, RunsEnded
+from ragwortlug.lease_messages import Offer, Progress, Renewal, RunsEnded, WorkerCrashed
 from ragwortlug.policy.overload import LoadShedder
 from ragwortlug.restartable_model import Orders, Queue, RestartableJob
 
@@ -64,6 +64,7 @@
             RunsEnded: dispatcher.on_runs_ended,
             Offer: dispatcher.on_offer,
             Progress: dispatcher.on_progress,
+            WorkerCrashed: dispatcher.on_worker_crashed,
         }
         for message_type, decide in decisions.items():
             self._register_decision(message_type, decide)
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -31,7 +31,7 @@
     JOB_ATTACHED = "job_attached", "A request waits for a job accepted before."
     JOB_REFUSED = "job_refused", "A job was refused; none of its tasks has run."
     JOB_DONE = "job_done", "All tasks of a job succeeded."
-    JOB_FAILED = "job_failed", "A task of a job failed too many times."
+    JOB_FAILED = "job_failed", "A task failed or crashed workers too often."
     JOB_GIVEN_UP = "job_given_up", "A started job will not end in time."
     JOB_ABANDONED = "job_abandoned", "No request waits for a job any longer."
 
@@ -50,6 +50,7 @@
     WORKER_BOOT = "worker_boot", "An agent detected a new boot of its worker."
     WORKER_GONE = "worker_gone", "A boot of a worker ended, and so did its runs."
     WORKER_CRASHED = "worker_crashed", "A worker ended without notice, with its runs."
+    CRASH_REPORTED = "crash_reported", "An agent reported a crash of its worker."
     WORKER_SILENT = "worker_silent", "A worker does not answer its agent."
     WORKER_ANSWERS = "worker_answers", "A worker answers its agent again."
 
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -57,6 +57,12 @@
     return Event(_finished_event_name(code), record.job.id, fields)
 
 
+def job_failed_before(job_id):
+    """Return the event of a job that is submitted again after it was given up."""
+    fields = {"code": Code.JOB_FAILED.name, "elapsed_ms": 0}
+    return Event(EventName.JOB_FAILED, job_id, fields)
+
+
 def runs_assigned(record, assignments, now):
     """Return the event of the assignment of runs of one job to agents.
 
@@ -124,6 +130,17 @@
     return Event(EventName.WORKER_LOST, "", fields)
 
 
+def crash_reported(agent, message, given_up):
+    """Return the event of a reported crash; `given_up` are jobs now given up."""
+    fields = {
+        "agent": agent.address,
+        "number": message.number,
+        "jobs": sorted({run.job_id for run in message.runs}),
+        "given_up": given_up,
+    }
+    return Event(EventName.CRASH_REPORTED, "", fields)
+
+
 def worker_ejected(record, worker, end):
     """Return the event of a worker that is ejected: it gets no runs for a time."""
     fields = {"agent": worker.peer.address, "end": end.value}
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -24,6 +24,7 @@
 from ragwortlug.jobs.waiting_jobs import WaitingJobs
 from ragwortlug.lease_messages import Renewed, StartRuns, StopRuns
 from ragwortlug.policy.backlog import LateWork
+from ragwortlug.policy.crash_history import CrashHistory
 from ragwortlug.policy.job_ranking import misses_deadline, objective_ms
 from ragwortlug.policy.known_workers import KnownWorkers
 from ragwortlug.restartable_model import Orders, Resources, Run, RunEnd
@@ -69,6 +70,7 @@
         self._workers = KnownWorkers(settings, rng)
         self._feedback = RunFeedback(self._workers)
         self._late_work = {}
+        self._crashes = CrashHistory()
         self._orders = Orders()
         self._demand_notifier = DemandNotifier(self._workers)
         self._entries = ()
@@ -129,6 +131,9 @@
             record.deadline = max(record.deadline, deadline)
             fields = {"requests": len(record.requests)}
             return [Event(EventName.JOB_ATTACHED, job.id, fields)]
+        if self._crashes.is_proven(job.id):
+            failed = events.job_failed_before(job.id)
+            return [failed, RequestAnswer(request_id, job.id, Code.JOB_FAILED)]
         expected = [
             self._feedback.expected_run_ms(queue.name, step.estimate_ms)
             for step in job.steps
@@ -259,6 +264,17 @@
         )
         return [*effects, Send(sender, message)]
 
+    def on_worker_crashed(self, sender, message, now):
+        """Record a crash of a worker; give up jobs that are proven to cause crashes."""
+        given_up = self._crashes.record(sender.incarnation, message, now)
+        effects = [events.crash_reported(sender, message, given_up)]
+        for job_id in given_up:
+            record = self._records.get(job_id)
+            if record is not None:
+                effects += self._finish_job(record, Code.JOB_FAILED, now)
+        self._dispatch_due = True
+        return effects + self._dispatch(now)
+
     def on_progress(self, sender, message, now):
         """Stop late runs that would end sooner on another worker."""
         worker = self._workers.get(sender.incarnation)
@@ -305,6 +321,7 @@
     def tick(self, now):
         """Finish jobs past their deadline and remove agents that are silent."""
         effects = []
+        self._crashes.expire(now)
         for worker in self._workers.remove_expired(now):
             effects.append(events.worker_lost(worker, now))
             for number in tuple(worker.outstanding):
@@ -399,6 +416,8 @@
         effects = self._feedback.on_run_ended(worker, record, task, end, run_ms, now)
         if end is not RunEnd.DONE:
             effects.append(events.run_failed(record, task, worker, end, run_ms))
+        else:
+            self._crashes.on_task_done(record.job.id, task.step, task.index)
         record.end_run(task, end, run_ms)
         self._update_waiting(record)
         if self._waiting.end_stopping(record, task):
@@ -416,6 +435,7 @@
         """
         if code is Code.OK:
             check(Invariant.ANSWER_WHOLE, record.done, id=record.job.id)
+            self._crashes.on_job_done(record.queue.name)
         if code.verdict is Verdict.NOT_RUN:
             check(
                 Invariant.NOT_RUN_TRUE,
@@ -519,6 +539,7 @@
             record.job.payload,
             step.resources,
             task.expected_ms * worker.slowdown,
+            record.queue.name,
         )
 
     def _count_start(self, record, task, now):
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -9,6 +9,7 @@
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
+from ragwortlug.jobs.crash_log import CrashLog
 from ragwortlug.jobs.local_runs import (
     MIN_RELATIVE_SPEED,
     LocalRun,
@@ -60,6 +61,8 @@
         self._uninformed = {}
         self._lease_expires_at = 0.0
         self._silent_since = None
+        self._failing_since = None
+        self._crash_log = CrashLog()
         self._latest_snapshot_requested_at = 0.0
         self._last_answer_at = 0.0
         self._recent_ends = {}
@@ -201,6 +204,7 @@
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
             return self.on_replaced(now)
         self._last_answer_at = now
+        self._failing_since = None
         by_run = {
             (local_run.task, local_run.run.attempt): key
             for key, local_run in self._runs.items()
@@ -256,6 +260,8 @@
         if self._worker is None or boot != self._worker.boot_id:
             return []
         effects = []
+        if self._failing_since is None:
+            self._failing_since = now
         silent = refused or now - self._last_answer_at > WORKER_ANSWER_TIMEOUT_S
         if silent and self._silent_since is None:
             self._silent_since = now
@@ -310,8 +316,10 @@
 
     def on_renewed(self, sender, message, now):
         """Handle a dispatcher's renewal of its permission."""
+        is_new = self._permissions.expires_at(sender.incarnation) is None
         self._permissions.on_renewed(sender, message.requested_at_ms)
-        return []
+        reports = self._crash_log.reports(now) if is_new else ()
+        return [Send(sender, report) for report in reports]
 
     def on_start_runs(self, sender, message, now):
         """Start the runs that are permitted and fit; report the others as ended."""
@@ -585,8 +593,11 @@
         """
         if not self._runs or self._worker.draining:
             return self._end_all_as_lost()
-        crashed = worker_crashed(self._worker, self._runs.values(), now)
-        return [crashed, *self._end_all_as_lost()]
+        crashed_at = now if self._failing_since is None else self._failing_since
+        crashed = worker_crashed(self._worker, self._runs.values(), crashed_at)
+        report = self._crash_log.add(self._runs.values(), crashed_at)
+        reports = [Send(peer, report) for peer in self._permissions.peers]
+        return [crashed, *reports, *self._end_all_as_lost()]
 
     def _end_all_as_lost(self):
         """End all runs as lost, since the worker can no longer run them."""
--- a/ragwortlug/jobs/permissions.py
+++ b/ragwortlug/jobs/permissions.py
@@ -76,6 +76,11 @@
         """Return whether an offer reserves the free resources."""
         return self._offer is not None
 
+    @property
+    def peers(self):
+        """Return the dispatchers that have a permission, a list."""
+        return [permission.peer for permission in self._permissions.values()]
+
     def reserved_from(self, sender):
         """Return whether the free resources are reserved for another dispatcher.
 
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -2,6 +2,7 @@
 
 from ragwortlug.envelope import Codec, Message, Rejected
 from ragwortlug.restartable_model import (
+    CrashedRun,
     Orders,
     Rank,
     Resources,
@@ -58,6 +59,16 @@
     free_resources: Resources
 
 
+class WorkerCrashed(Message):
+    """Reports a crash of the sender's worker, with the runs that ended with it.
+
+    `number` counts the crashes that the sender has seen.
+    """
+
+    number: int
+    runs: tuple[CrashedRun, ...]
+
+
 class StopRuns(Message):
     """Tells an agent to stop runs, or never to start them."""
 
@@ -104,6 +115,7 @@
     | Renewed
     | StartRuns
     | RunsEnded
+    | WorkerCrashed
     | StopRuns
     | Wants
     | Offer
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -202,6 +202,8 @@
         Counts the starts of the task, from 1.
     expected_ms : float
         Expected run time on a worker of average speed.
+    queue : str
+        Name of the job's queue.
     """
 
     number: int
@@ -212,6 +214,27 @@
     payload: str
     resources: Resources
     expected_ms: float
+    queue: str = ""
+
+
+class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that ended with the crash of its worker.
+
+    Attributes
+    ----------
+    job_id, step, index : str, int, int
+        Identify the task.
+    queue : str
+        Name of the job's queue.
+    age_ms : int
+        Time from the command to start the run until the crash.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    queue: str
+    age_ms: int
 
 
 class Rank(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -22,12 +22,15 @@
     StartRuns,
     StopRuns,
     Wants,
+    WorkerCrashed,
 )
 from ragwortlug.restartable_model import Orders
 
 TICK_S = 0.05
 LOCAL_S = 0.0005
 WATCHES = 2
+# Time from the start of a run until it crashes its worker.
+CRASH_S = 0.01
 
 
 class FakeProcess:
@@ -123,7 +126,8 @@
 
         def failed(refused):
             lost = lambda now: self.runner.on_snapshot_failed(asked_boot, refused, now)  # noqa: E731
-            self.play.at(0.05, lambda: (self.run(lost, boot), after()))
+            self.play.at(LOCAL_S, lambda: self.run(lost, boot))
+            self.play.at(0.05, after)
 
         def arrive():
             if not self.worker.up or worker_boot != self.worker.boots:
@@ -177,10 +181,7 @@
                 answered(StartAnswer.REJECTED)
                 return
             if self.play.crashes_worker(order.run):
-                self.play.crash_by_run(self, order.run)
-                call_s = self.play.settings.call_ms / 1000
-                self.play.at(call_s, lambda: answered(StartAnswer.NO_ANSWER))
-                return
+                self.play.at(CRASH_S, lambda: self.play.crash_by_run(self, order.run))
             answer = self.worker.start(order)
             self.play.at(LOCAL_S, lambda: answered(answer))
 
@@ -269,6 +270,7 @@
             RunsEnded: self.dispatcher.on_runs_ended,
             Offer: self.dispatcher.on_offer,
             Progress: self.dispatcher.on_progress,
+            WorkerCrashed: self.dispatcher.on_worker_crashed,
         }
         decide = decisions[type(message)]
         self.run(lambda now: decide(sender, message, now))
--- a/tests/play.py
+++ b/tests/play.py
@@ -309,6 +309,8 @@
     def crash_by_run(self, agent, run):
         """Crash the worker that starts a run."""
         task = (run.job_id, run.step, run.index)
+        if not any(running == task for running, _ in agent.worker.running):
+            return
         self.crashes.setdefault(task, []).append(self.now)
         self.crash_worker(agent, self.rng.uniform(3.0, 3.5))
 
@@ -317,6 +319,7 @@
         worker = agent.worker
         worker.up = False
         worker.running = {}
+        self.wake(worker)
 
         def back():
             worker.up = True
--- /dev/null
+++ b/tests/test_crash_history.py
@@ -0,0 +1,105 @@
+"""What dispatchers conclude from reported crashes of workers."""
+
+from ragwortlug.lease_messages import WorkerCrashed
+from ragwortlug.policy.crash_history import SAFE_JOBS, CrashHistory
+from ragwortlug.restartable_model import CrashedRun
+
+JOB = "00c0ffee00c0ffee"
+OTHER = "00c0ffee00c0ffef"
+QUEUE = "preview"
+
+
+def crash(history, number, now, *ages_ms, job_id=JOB):
+    """Record a crash with runs of these ages; return the jobs given up."""
+    runs = tuple(
+        CrashedRun(job_id, 0, index, QUEUE, age_ms)
+        for index, age_ms in enumerate(ages_ms)
+    )
+    return history.record("agent-1", WorkerCrashed(number, runs), now)
+
+
+class TestTasks:
+    def test_one_crash_proves_nothing(self):
+        history = CrashHistory()
+        assert crash(history, 1, 0.0, 10) == []
+        assert history.is_suspect(JOB)
+        assert not history.is_proven(JOB)
+
+    def test_two_crashes_shortly_after_the_start_prove(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        assert crash(history, 2, 1.0, 10) == [JOB]
+        assert history.is_proven(JOB)
+
+    def test_runs_lost_beside_the_cause_are_no_suspects(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 900)
+        assert not history.is_suspect(JOB)
+
+    def test_a_task_that_crashes_late_is_proven_by_the_third_crash(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 900)
+        assert crash(history, 2, 1.0, 900) == []
+        assert history.is_suspect(JOB)
+        assert crash(history, 3, 2.0, 900) == [JOB]
+
+    def test_a_repeated_report_counts_once(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        crash(history, 1, 0.5, 10)
+        assert not history.is_proven(JOB)
+
+    def test_crashes_under_two_tasks_of_a_job_do_not_add_up(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10, 900)
+        crash(history, 2, 1.0, 900, 10)
+        assert not history.is_proven(JOB)
+
+    def test_a_task_that_ended_well_is_cleared(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        history.on_task_done(JOB, 0, 0)
+        assert not history.is_suspect(JOB)
+        assert crash(history, 2, 1.0, 10) == []
+
+    def test_old_crashes_are_forgotten(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        history.expire(61.0)
+        assert not history.is_suspect(JOB)
+
+
+class TestQueues:
+    def risky(self):
+        """Return a history in which a task of the queue is proven at second 1."""
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        crash(history, 2, 1.0, 10)
+        return history
+
+    def test_a_crash_alone_makes_no_queue_risky(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_is_risky_until_jobs_end_well(self):
+        history = self.risky()
+        assert history.is_risky(QUEUE)
+        for _ in range(SAFE_JOBS):
+            history.expire(2.0)
+            assert history.is_risky(QUEUE)
+            history.on_job_done(QUEUE)
+        assert history.expire(2.0) == [QUEUE]
+        assert not history.is_risky(QUEUE)
+
+    def test_a_further_crash_begins_the_count_anew(self):
+        history = self.risky()
+        for _ in range(SAFE_JOBS - 1):
+            history.on_job_done(QUEUE)
+        crash(history, 3, 2.0, 10, job_id=OTHER)
+        history.on_job_done(QUEUE)
+        assert history.expire(3.0) == []
+
+    def test_the_risk_of_a_queue_without_jobs_ends(self):
+        history = self.risky()
+        assert history.expire(32.0) == [QUEUE]
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -50,7 +50,7 @@
         assert_sound(play)
 
     def test_job_with_it_is_failed_and_no_other(self):
-        play = play_crashing(1, 0.03)
+        play = play_crashing(2, 0.03)
         codes = {
             each.code for each in play.callers.values() if each.job.id in play.crashing
         }
