Look at a worker again at once after one failure

An agent noticed a crash 63 to 65 ms after the start of the task at fault: the connection broke after about 12 ms, and it paused for 50 ms before the call that was refused. Until then it went on starting runs on the dead worker. Now the first failure is followed by a call at once.

--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -267,9 +267,11 @@
         """Request snapshots of the worker repeatedly while it has runs.
 
         An overdue request continues beside the next one. Otherwise a lost answer
-        would delay the ends of runs until that request times out.
+        would delay the ends of runs until that request times out. After a failure the
+        next request follows at once: if the worker crashed, it is refused.
         """
         limit_s = self._settings.look_ms / MS_PER_S + SNAPSHOT_GRACE_S
+        failures = 0
         while True:
             await self._has_runs.wait()
             if not self._runner.running:
@@ -279,7 +281,9 @@
                 self._request_snapshot(self._settings.look_ms)
             )
             done, _ = await asyncio.wait({snapshot_request}, timeout=limit_s)
-            if done and not snapshot_request.result():
+            failed = bool(done) and not snapshot_request.result()
+            failures = failures + 1 if failed else 0
+            if failures > 1:
                 await asyncio.sleep(PAUSE_AFTER_FAILURE_S)
 
     async def _request_snapshot(self, wait_ms):
