Start confined jobs one after the other instead of one at a time

After the last crash the callers of a confined queue got late answers for 5 s, since each of its few workers ran one job at a time. Crashes follow the start of their cause within 30 ms, so a worker that has not crashed 60 ms after a job's start can start the next one, and a crash still names its cause. A suspect keeps its worker to itself. What is left of the delay is capacity: a worker that has just started is slow for 5 s.

--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -1,14 +1,17 @@
 """Jobs that may crash the workers that run them, and where they run.
 
-Such a job is confined to few workers (`policy/confinement.py`), and shares none of them
-with another such job: if the worker crashes, the cause is known, and no more is lost
-than that job. While a queue is risky, all other jobs avoid these workers.
+Such a job is confined to few workers (`policy/confinement.py`). A suspect has its
+worker to itself; other jobs of a risky queue start one after the other, so that a crash
+names its cause. While a queue is risky, all other jobs avoid these workers.
 """
 
 from ragwortlug.jobs import dispatch_events as events
 from ragwortlug.policy.confinement import Confinement
+from ragwortlug.policy.crash_history import RECENT_START_MS
 
 MS_PER_S = 1000.0
+# A worker that has not crashed this long after the start of a job starts the next one.
+SETTLE_S = 2 * RECENT_START_MS / MS_PER_S
 
 
 class RiskyJobs:
@@ -84,7 +87,7 @@
             if (
                 worker in serving
                 and worker.can_start(step.resources, step.label, now)
-                and not self._runs_other_risky_job(worker, record)
+                and not self._must_wait(worker, record, now)
             ):
                 return worker
         return None
@@ -118,7 +121,7 @@
             if not record.begun and now + wait_s + path_s > record.deadline:
                 unreachable.append((record, wait_s))
             else:
-                ahead_s += path_s / len(workers)
+                ahead_s += _start_interval_s(record, workers)
         return unreachable
 
     def _is_risky(self, record):
@@ -131,7 +134,22 @@
         """Return the workers to which the job is confined."""
         return self._confinement.own_workers(record.queue.service, now)
 
-    def _runs_other_risky_job(self, worker, record):
-        """Return whether a worker runs another job that may crash it."""
-        records = (self._outstanding[number][0] for number in worker.outstanding)
-        return any(other is not record and self._is_risky(other) for other in records)
+    def _must_wait(self, worker, record, now):
+        """Return whether another risky job at a worker must end or settle first."""
+        for number in worker.outstanding:
+            other, task = self._outstanding[number]
+            if other is record or not self._is_risky(other):
+                continue
+            has_suspect = any(
+                self._crashes.is_suspect(each.job.id) for each in (record, other)
+            )
+            if has_suspect or now - task.assigned_at < SETTLE_S:
+                return True
+        return False
+
+
+def _start_interval_s(record, workers):
+    """Return the mean seconds from the start of a confined job to that of the next."""
+    capacity = sum(worker.state.capacity.cpu for worker in workers if worker.state)
+    work_s = record.remaining_work() / MS_PER_S / max(capacity, 1)
+    return max(SETTLE_S / len(workers), work_s)
