Play late crashes, crashes beside other failures, and capacities that change

Tasks that crash their worker 80 ms after their start, beside lost messages, lost answers, failed runs and a killed entry: fewer than the six starts that the users' rule calls broken. LIMIT: workers whose capacity shrinks and grows up to 1.5 s before they report it; no start exceeds what was last reported.

--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -29,8 +29,6 @@
 TICK_S = 0.05
 LOCAL_S = 0.0005
 WATCHES = 2
-# Time from the start of a run until it crashes its worker.
-CRASH_S = 0.01
 
 
 class FakeProcess:
@@ -181,7 +179,8 @@
                 answered(StartAnswer.REJECTED)
                 return
             if self.play.crashes_worker(order.run):
-                self.play.at(CRASH_S, lambda: self.play.crash_by_run(self, order.run))
+                delay_s = self.play.crash_delay_s
+                self.play.at(delay_s, lambda: self.play.crash_by_run(self, order.run))
             answer = self.worker.start(order)
             self.play.at(LOCAL_S, lambda: answered(answer))
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -33,6 +33,8 @@
         self.play = play
         self.name = name
         self.room = room
+        # The capacity that its agent knows.
+        self.limit = room
         self.speed = speed
         self.drift = drift
         self.born = play.now
--- a/tests/play.py
+++ b/tests/play.py
@@ -23,6 +23,9 @@
 from tests.fake_processes import FakeAgent, FakeEntry
 from tests.fake_worker import SERVICE, FakeWorker
 
+# A command may be on its way to a worker while the agent learns of its capacity.
+COMMAND_S = 0.002
+
 
 @dataclass
 class Faults:
@@ -95,6 +98,8 @@
         self.poison = set()
         # Jobs whose first task crashes each worker that starts it.
         self.crashing = set()
+        # Seconds from the start of such a task until the crash.
+        self.crash_delay_s = 0.01
         # Moments at which a task has crashed a worker, by task.
         self.crashes = {}
         self.ran = set()
@@ -186,7 +191,7 @@
         used = room
         for each in worker.running.values():
             used = used + each.room
-        if not worker.room.can_fit(used):
+        if not worker.limit.can_fit(used):
             self.broken.append(f"{self.now:.3f} room: {worker.name} {used}")
 
     def work_of(self, run):
@@ -306,6 +311,20 @@
             delay_s, lambda: receive(sender, message)
         )
 
+    def resize_worker(self, agent, room, report_s):
+        """Change a worker's capacity, which its next report tells its agent."""
+        worker = agent.worker
+        boot = worker.boots
+        worker.room = room
+
+        def report():
+            if worker.up and worker.boots == boot:
+                latest = worker.report()
+                agent.run(lambda now: agent.runner.on_report(latest, now))
+                self.at(COMMAND_S, lambda: setattr(worker, "limit", worker.room))
+
+        self.at(report_s, report)
+
     def crash_by_run(self, agent, run):
         """Crash the worker that starts a run."""
         task = (run.job_id, run.step, run.index)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ragwortlug.codes import Code
+from ragwortlug.restartable_model import Resources
 from tests.play import Faults, Play
 from tests.test_restartable import assert_sound
 
@@ -12,21 +13,28 @@
 REST_S = 14.0
 # Crashes under one task after which it must not be started again.
 MAX_CRASHES = 3
+# Starts of such a task that the users' rule calls broken.
+MAX_STARTS = 6
 
 
-def play_crashing(seed, share, faults=None, kill_entry_at=None):
+def play_crashing(seed, share, faults=None, kill_entry_at=None, delay_s=0.01):
     """Return a play in which a share of the previews crash their workers.
 
     The load is what eleven workers carry without failures at half of their capacity.
+    `delay_s` is the time from the start of a task until it crashes its worker.
     """
     play = Play(seed=seed, faults=faults or Faults()).build()
+    play.crash_delay_s = delay_s
     play.run_until(0.5)
+    previews = []
 
     def arrive(kind, rate, tasks, mean_s):
         if play.now < UNTIL_S:
             caller = play.hand_in(kind, tasks, mean_s, deadline_s=4.0)
-            if kind == PREVIEW and play.now > FROM_S and play.chance(share):
-                play.crashing.add(caller.job.id)
+            if kind == PREVIEW and play.now > FROM_S:
+                previews.append(caller)
+                if len(previews) % round(1 / share) == 1:
+                    play.crashing.add(caller.job.id)
             wait_s = play.rng.expovariate(rate)
             play.at(wait_s, lambda: arrive(kind, rate, tasks, mean_s))
 
@@ -49,6 +57,21 @@
         assert max(counts.values()) <= MAX_CRASHES, counts
         assert_sound(play)
 
+    @pytest.mark.parametrize("seed", range(4))
+    def test_is_given_up_if_it_crashes_late(self, seed):
+        play = play_crashing(seed, 0.1, delay_s=0.08)
+        counts = {task: len(moments) for task, moments in play.crashes.items()}
+        assert max(counts.values()) < MAX_STARTS, counts
+        assert_sound(play)
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_is_given_up_beside_other_failures(self, seed):
+        faults = Faults(lose=0.02, no_answer=0.03, fail=0.02)
+        play = play_crashing(seed, 0.05, faults, kill_entry_at=5.0)
+        counts = {task: len(moments) for task, moments in play.crashes.items()}
+        assert max(counts.values()) < MAX_STARTS, counts
+        assert_sound(play)
+
     @pytest.mark.parametrize("seed", range(4))
     def test_job_with_it_is_failed_and_no_other(self, seed):
         play = play_crashing(seed, 0.03)
@@ -71,3 +94,24 @@
         ]
         done = sum(1 for each in stamps if each.code is Code.OK)
         assert done >= 0.95 * len(stamps), f"{done} of {len(stamps)}"
+
+
+class TestCapacityThatShrinks:
+    """No start exceeds the capacity that a worker last reported."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_nothing_is_started_over_it(self, seed):
+        play = Play(seed=seed, faults=Faults(lose=0.02, no_answer=0.02)).build(3, 5)
+        for step in range(24):
+            agent = play.agents[play.rng.randrange(len(play.agents))]
+            room = Resources(int(64_000 * play.rng.choice((0.1, 0.5, 1.0))), 131_072, 0)
+            report_s = play.rng.uniform(0.0, 1.5)
+            play.at(
+                1.0 + 0.4 * step,
+                lambda a=agent, r=room, s=report_s: play.resize_worker(a, r, s),
+            )
+        for step in range(200):
+            kind = play.rng.choice((PREVIEW, STAMP))
+            play.at(0.5 + 0.05 * step, lambda k=kind: play.hand_in(k, 4, 0.2))
+        play.run_until(UNTIL_S + REST_S)
+        assert_sound(play)
