Report a changed capacity of a worker to dispatchers at once

A worker may change its capacity while it runs. The agent guarded the new one, but dispatchers learned of it with the next renewal, up to 250 ms later, and meanwhile ordered runs that were refused, or left grown capacity unused. The agent asks for renewals at once now, as for a change of draining, and the event worker_changed has the capacity. The new test failed before (no effect).

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -123,9 +123,13 @@
             if report.sequence <= previous.sequence:
                 return []
             self._worker = report
-            if report.draining != previous.draining:
+            if (report.draining, report.capacity) != (
+                previous.draining,
+                previous.capacity,
+            ):
                 fields = {"worker": report.id, "draining": report.draining}
                 fields |= {"remaining_ms": report.remaining_ms}
+                fields |= {"capacity_mc": report.capacity.cpu}
                 changed = Event(EventName.WORKER_CHANGED, "", fields)
                 return [changed, *self._request_renewals()]
             return []
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -9,6 +9,7 @@
 from ragwortlug.jobs.leased import LeasedRunner
 from ragwortlug.jobs.worker_calls import (
     ListedRun,
+    RequestRenewals,
     StartAnswer,
     WorkerReport,
     WorkerSnapshot,
@@ -158,3 +159,16 @@
     def test_the_end_of_a_draining_worker_is_no_crash(self):
         names = [each.name for each in self.crashing(draining=True)]
         assert EventName.WORKER_CRASHED not in names
+
+
+class TestReports:
+    def test_a_changed_capacity_is_reported_to_dispatchers_at_once(self):
+        agent = runner()
+        report = dataclasses.replace(
+            REPORT, sequence=2, capacity=Resources(9000, 900, 0)
+        )
+        effects = agent.on_report(report, 10.1)
+        assert RequestRenewals() in effects
+        assert agent.state().free_resources == Resources(9000, 900, 0)
+        same = dataclasses.replace(report, sequence=3)
+        assert agent.on_report(same, 10.2) == []
