Test a job that crashes its workers through real sockets

A stand-in worker whose task has the spec 'crash' loses all runs and connections 10 ms after the start. The job is failed after two crashes, and at once at the other entry, which had none of its runs; workers that are back serve other jobs. Its crash was a quiet end before: calls that waited got an answer with the ends of all runs.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,6 +18,7 @@
 
 MS_PER_S = 1000.0
 STOP_DELAY_S = 0.02
+SHORT_RUN_S = 0.01
 MAX_HOLD_MS = 1000
 CAPACITY = {"cpu": 64000, "mem_mb": 131072, "gpu": 0}
 
@@ -200,6 +201,8 @@
         Whether runs that start now make no progress and do not end.
     clock_rate : float
         Rate of the worker's monotonic clock; 1.0 is the true rate.
+    downtime_s : float
+        Time for which it is down after a crash.
     """
 
     dropped_start_replies: int = 0
@@ -207,13 +210,14 @@
     next_run_fails: Callable[[], bool] | None = None
     stalled: bool = False
     clock_rate: float = 1.0
+    downtime_s: float = 1.0
 
 
 class PlatformWorker:
     """A worker whose tasks run for the number of seconds in their ``spec``.
 
-    A task with the spec ``fail`` fails after 0.01 s. All runs end when their
-    lease expires.
+    A task with the spec ``fail`` fails after 0.01 s; one with the spec ``crash``
+    crashes the worker after that time. All runs end when their lease expires.
 
     Parameters
     ----------
@@ -252,6 +256,7 @@
         self.drain_confirmed_at = None
         self.starts = []
         self.peak_running = 0
+        self._crash_task = None
         self._boot()
 
     def _boot(self):
@@ -266,6 +271,7 @@
         self._run_ended = asyncio.Event()
         self.booted_at_ms = int(time.time() * MS_PER_S)
         self.fencing_token = 0
+        self.is_up = True
 
     async def start(self, host, port, address=""):
         """Start listening and reporting.
@@ -299,8 +305,19 @@
         await self._runner.cleanup()
 
     async def crash(self, down_s):
-        """Stop without notifying the agent, and boot again after `down_s` seconds."""
-        self._end_all("crashed")
+        """Stop without notifying the agent, and boot again after `down_s` seconds.
+
+        Calls that wait for an answer get none.
+        """
+        self.is_up = False
+        for key, run in self._running.items():
+            if run.timer is not None:
+                run.timer.cancel()
+            self._observe(self, "crashed", key)
+        self._running.clear()
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
         await self.stop()
         await asyncio.sleep(down_s)
         self._boot()
@@ -395,7 +412,8 @@
             return self._conflict("late")
         self._extend_lease(body["deadline_ms"])
         failing = body["spec"] == "fail"
-        work_s = 0.01 if failing else float(body["spec"])
+        crashing = body["spec"] == "crash"
+        work_s = SHORT_RUN_S if failing or crashing else float(body["spec"])
         failing = failing or (
             self.faults.next_run_fails and self.faults.next_run_fails()
         )
@@ -404,7 +422,10 @@
         self.starts.append(key)
         self.peak_running = max(self.peak_running, len(self._running))
         self._observe(self, "start", body)
-        if not self.faults.stalled:
+        if crashing:
+            crash = self.crash(self.faults.downtime_s)
+            self._crash_task = asyncio.create_task(_after(work_s, crash))
+        elif not self.faults.stalled:
             end_state = "failed" if failing else "done"
             loop = asyncio.get_running_loop()
             run.timer = loop.call_later(work_s, self._end, key, end_state)
@@ -460,7 +481,9 @@
         return self._ok(running=running, finished=self._finished)
 
     def _check_instance(self, request):
-        """Refuse a call that is meant for another instance."""
+        """Refuse a call that is meant for another instance, or for none any more."""
+        if not self.is_up:
+            request.transport.abort()
         if request.headers.get("Expect-Instance", self.id) != self.id:
             raise web.HTTPMisdirectedRequest
 
@@ -510,3 +533,9 @@
         """Return a response with status 409 and the reason."""
         body = {"clock_ms": self._clock_ms(), "reason": reason}
         return web.json_response(body, status=409)
+
+
+async def _after(delay_s, coroutine):
+    """Await a coroutine after a delay."""
+    await asyncio.sleep(delay_s)
+    await coroutine
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -172,7 +172,7 @@
 
     async def submit(self, job_id, spec="0.05", tasks=2, entry=0, deadline_ms=20_000):
         """Hand a job in; return the status and the decoded answer."""
-        estimate_ms = 10 if spec == "fail" else int(float(spec) * 1000)
+        estimate_ms = 10 if spec in ("fail", "crash") else int(float(spec) * 1000)
         step = {"count": tasks, "cpu": 6000, "mem_mb": 64, "estimate_ms": estimate_ms}
         body = {
             "spec": spec,
@@ -307,6 +307,19 @@
 
         on_site(scenario)
 
+    def test_a_job_that_crashes_workers_is_failed_at_any_entry(self, on_site):
+        async def scenario(site):
+            assert await site.submit(JOB, "crash", 1) == (200, {"state": "failed"})
+            assert len(site.started()) == 2
+            await site.until(lambda: all(site.known(each) == 2 for each in (0, 1)))
+            again = await site.submit(JOB, "crash", 1, entry=1)
+            assert again == (200, {"state": "failed"})
+            assert len(site.started()) == 2
+            other = await site.submit(JOB.replace("0", "1"), "0.05", 2)
+            assert other == (200, {"state": "completed"})
+
+        on_site(scenario)
+
     def test_runs_of_a_killed_entry_end(self, on_site):
         async def scenario(site):
             job = asyncio.create_task(site.submit(JOB, "30.0", 2, deadline_ms=60_000))
