Move the choice of late jobs to refuse into the forecast

The dispatcher's module had grown by the handling of crashes. The loop over late jobs is part of policy/backlog.py now, as that over confined jobs is of jobs/risky_jobs.py, and the dispatcher refuses what both return.

--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -11,7 +11,6 @@
 runs depend on permissions that only the first dispatcher renews.
 """
 
-import math
 from dataclasses import dataclass
 
 from ragwortlug.codes import Code, Verdict
@@ -338,8 +337,7 @@
         for record in tuple(self._records.values()):
             effects += self._check_deadline(record, now)
         for service in self._waiting.services:
-            effects += self._refuse_late_jobs(service, now)
-            effects += self._refuse_confined_jobs(service, now)
+            effects += self._refuse_unreachable_jobs(service, now)
         self._dispatch_due = True
         return effects + self._dispatch(now)
 
@@ -399,39 +397,18 @@
             return self._finish_job(record, Code.DEADLINE_UNREACHABLE, now)
         return []
 
-    def _refuse_late_jobs(self, service, now):
-        """Refuse the late jobs that can't start before it is too late for them.
+    def _refuse_unreachable_jobs(self, service, now):
+        """Refuse the jobs that can't start before it is too late for them.
 
         Jobs that may have started are kept. Callers that are refused may return one
         after the other, each once the work of those before it can have started.
         """
         ranked = self._waiting.ranked(service, now)
-        late = [record for rank, record in ranked if rank.misses_objective]
         late_work = self._late_work.setdefault(service, LateWork())
-        late_work.update(bool(late), now)
+        unreachable = dict(late_work.unreachable(ranked, now))
+        unreachable |= dict(self._risky_jobs.unreachable(ranked, now))
         effects = []
-        all_work = sum(record.remaining_work() for _, record in ranked)
-        late_work_ahead = 0.0
-        for record in late:
-            starts_at = now + late_work.wait_s(late_work_ahead)
-            path_ms = record.remaining_path_ms(now)
-            if record.begun or not misses_deadline(path_ms, record.deadline, starts_at):
-                late_work_ahead += record.remaining_work()
-                continue
-            retry_after_s = late_work.retry_after_s(all_work)
-            all_work += record.remaining_work()
-            code = Code.DEADLINE_UNREACHABLE
-            effects += self._finish_job(record, code, now, retry_after_s)
-        return effects
-
-    def _refuse_confined_jobs(self, service, now):
-        """Refuse the confined jobs that can't end before their callers' deadlines."""
-        if not self._crashes.risky_queues:
-            return []
-        ranked = self._waiting.ranked(service, now)
-        effects = []
-        for record, wait_s in self._risky_jobs.unreachable(ranked, now):
-            retry_after_s = max(RETRY_AFTER_S, math.ceil(wait_s))
+        for record, retry_after_s in unreachable.items():
             code = Code.DEADLINE_UNREACHABLE
             effects += self._finish_job(record, code, now, retry_after_s)
         return effects
--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -5,9 +5,13 @@
 names its cause. While a queue is risky, all other jobs avoid these workers.
 """
 
+import math
+
 from ragwortlug.jobs import dispatch_events as events
+from ragwortlug.policy.backlog import MIN_RETRY_S
 from ragwortlug.policy.confinement import Confinement
 from ragwortlug.policy.crash_history import RECENT_START_MS
+from ragwortlug.policy.job_ranking import misses_deadline
 
 MS_PER_S = 1000.0
 # A worker that has not crashed this long after the start of a job starts the next one.
@@ -102,8 +106,8 @@
 
         Returns
         -------
-        list of (RestartableRecord, float)
-            Jobs, and the seconds until each could start.
+        list of (RestartableRecord, int)
+            Jobs, and the seconds after which the caller of each may return.
         """
         confined = [
             record
@@ -117,9 +121,12 @@
             if not workers:
                 return unreachable
             wait_s = self._confinement.wait_s(record.queue.service, now) + ahead_s
-            path_s = record.remaining_path_ms(now) / MS_PER_S
-            if not record.begun and now + wait_s + path_s > record.deadline:
-                unreachable.append((record, wait_s))
+            path_ms = record.remaining_path_ms(now)
+            if not record.begun and misses_deadline(
+                path_ms, record.deadline, now + wait_s
+            ):
+                retry_after_s = max(MIN_RETRY_S, math.ceil(wait_s))
+                unreachable.append((record, retry_after_s))
             else:
                 ahead_s += _start_interval_s(record, workers)
         return unreachable
--- a/ragwortlug/policy/backlog.py
+++ b/ragwortlug/policy/backlog.py
@@ -8,6 +8,8 @@
 
 import math
 
+from ragwortlug.policy.job_ranking import misses_deadline
+
 MS_PER_S = 1000.0
 # Time constant of the moving averages of rates.
 SMOOTHING_S = 1.0
@@ -63,6 +65,35 @@
             self._late_rate = self._rate
         self._started = self._late_started = 0.0
 
+    def unreachable(self, ranked, now):
+        """Return the late jobs that can't start before it is too late for them.
+
+        Parameters
+        ----------
+        ranked : list of (Rank, RestartableRecord)
+            The waiting jobs of the service in their order.
+
+        Returns
+        -------
+        list of (RestartableRecord, int)
+            Jobs of which nothing may have started, and the seconds after which the
+            caller of each may return.
+        """
+        late = [record for rank, record in ranked if rank.misses_objective]
+        self.update(bool(late), now)
+        unreachable = []
+        all_work = sum(record.remaining_work() for _, record in ranked)
+        late_work_ahead = 0.0
+        for record in late:
+            starts_at = now + self.wait_s(late_work_ahead)
+            path_ms = record.remaining_path_ms(now)
+            if record.begun or not misses_deadline(path_ms, record.deadline, starts_at):
+                late_work_ahead += record.remaining_work()
+                continue
+            unreachable.append((record, self.retry_after_s(all_work)))
+            all_work += record.remaining_work()
+        return unreachable
+
     def wait_s(self, work_ahead):
         """Return the seconds until late work behind `work_ahead` can start."""
         if work_ahead <= 0.0 or not self._is_warm:
--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -19,11 +19,11 @@
 from ragwortlug.codes import Code
 from ragwortlug.jobs import dispatcher, waiting_jobs
 from ragwortlug.jobs.demand_notifier import DemandNotifier
-from ragwortlug.jobs.dispatcher import Dispatcher
 from ragwortlug.jobs.leased import LeasedRunner
 from ragwortlug.jobs.permissions import Permissions
 from ragwortlug.jobs.run_feedback import RunFeedback
 from ragwortlug.lease_messages import RunsEnded, StartRuns
+from ragwortlug.policy.backlog import LateWork
 from ragwortlug.policy.health import WorkerHealth
 from ragwortlug.policy.job_ranking import job_rank
 from ragwortlug.policy.known_workers import KnownWorkers
@@ -243,9 +243,7 @@
     "least work first": (
         (waiting_jobs, "job_rank", _rank_without(remaining_work=0.0)),
     ),
-    "late jobs refused by forecast": (
-        (Dispatcher, "_refuse_late_jobs", lambda *_: []),
-    ),
+    "late jobs refused by forecast": ((LateWork, "unreachable", lambda *_: []),),
     "offers before reports": (
         (LeasedRunner, "_offer_then_report", _offer_beside_report),
     ),
