--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -13,11 +13,10 @@
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs.crash_log import CrashLog
 from ragwortlug.jobs.local_runs import (
-    MIN_RELATIVE_SPEED,
     LocalRun,
     Phase,
     event_of,
-    is_worker_slow,
+    late_runs,
     worker_crashed,
 )
 from ragwortlug.jobs.permissions import Permissions
@@ -556,29 +555,9 @@
             if not local_run.stopped and local_run.sample(row.completed_fraction, now):
                 sampled.append(local_run)
         self._unassigned_runs = unassigned
-        return effects + self._report_progress(sampled, now)
-
-    def _report_progress(self, sampled, now):
-        """Report runs that make no progress, or are slow along with their worker.
-
-        A single run that is slower than expected may just be larger than declared.
-        """
-        all_slow = is_worker_slow(self._runs.values())
-        late_runs = {}
-        for local_run in sampled:
-            remaining_run_ms = local_run.remaining_run_ms()
-            if (
-                remaining_run_ms is None
-                or all_slow
-                or local_run.relative_speed < MIN_RELATIVE_SPEED
-            ):
-                run_ms = (now - local_run.started_at) * MS_PER_S
-                rows = late_runs.setdefault(local_run.dispatcher, [])
-                rows.append((local_run.run.number, run_ms, remaining_run_ms))
-        return [
-            Send(receiver, Progress(tuple(rows)))
-            for receiver, rows in late_runs.items()
-        ]
+        rows = late_runs(sampled, self._runs.values(), now)
+        reports = [Send(receiver, Progress(runs)) for receiver, runs in rows.items()]
+        return effects + reports
 
     def _end_run(self, key, end, now):
         """Remove a run that has ended and return the message that reports it."""
--- a/ragwortlug/jobs/local_runs.py
+++ b/ragwortlug/jobs/local_runs.py
@@ -102,6 +102,34 @@
     )
 
 
+def late_runs(sampled, runs, now):
+    """Return the runs that make no progress, or are slow along with their worker.
+
+    Parameters
+    ----------
+    sampled : iterable of LocalRun
+        The runs to look at.
+    runs : iterable of LocalRun
+        All runs of the worker.
+
+    Returns
+    -------
+    dict
+        For each dispatcher a tuple of rows: number of the assignment, milliseconds
+        since its start and remaining milliseconds, None without progress.
+    """
+    all_slow = is_worker_slow(runs)
+    rows = {}
+    for local_run in sampled:
+        remaining_run_ms = local_run.remaining_run_ms()
+        is_slow = local_run.relative_speed < MIN_RELATIVE_SPEED
+        if remaining_run_ms is None or all_slow or is_slow:
+            run_ms = (now - local_run.started_at) * MS_PER_S
+            row = (local_run.run.number, run_ms, remaining_run_ms)
+            rows[local_run.dispatcher] = (*rows.get(local_run.dispatcher, ()), row)
+    return rows
+
+
 def event_of(name, local_run, **fields):
     """Return an event about a run."""
     fields |= {
