--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -63,7 +63,9 @@
 
     def is_confined(self, record, now):
         """Return whether a job must run on the confined workers only."""
-        return self._is_risky(record) and bool(self._own_workers(record, now))
+        if self._crashes.is_calm or not self._is_risky(record):
+            return False
+        return bool(self._own_workers(record, now))
 
     def avoided(self, service, now):
         """Return the incarnations of the agents that other jobs avoid, a frozenset."""
@@ -77,6 +79,8 @@
 
         A suspect job that crashes its worker again delays all confined jobs.
         """
+        if self._crashes.is_calm:
+            return ranked
         return sorted(ranked, key=lambda pair: self._crashes.is_suspect(pair[1].job.id))
 
     def choose(self, record, step, now):
@@ -109,6 +113,8 @@
         list of (RestartableRecord, int)
             Jobs, and the seconds after which the caller of each may return.
         """
+        if not self._crashes.risky_queues:
+            return []
         confined = [
             record
             for _, record in self.sort(ranked)
--- a/ragwortlug/policy/crash_history.py
+++ b/ragwortlug/policy/crash_history.py
@@ -117,6 +117,11 @@
         # When each report was received, by agent and number.
         self._seen = {}
 
+    @property
+    def is_calm(self):
+        """Return whether no job is suspect and no queue is risky."""
+        return not self._suspect_jobs and not self.risky_queues
+
     @property
     def risky_queues(self):
         """Return the names of the queues whose jobs are likely to crash workers."""
