Let suspects run beside a backlog

Found in reading the change. A job that was lost with a crashed worker and had just started there was left out when agents offered resources, and looked at only after all other waiting jobs had found a worker. Under a backlog it would have waited until its deadline, though it is innocent nine times in ten. A single suspect takes offered resources anywhere now, unless another risky job is there; jobs of a risky queue take those of their own workers. Confined jobs no longer wait behind a job that fits nowhere. test_offered_resources_start_a_suspect failed before (it started another job).

--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -237,13 +237,11 @@
         runs = []
         in_service = worker.state.data_centre not in self._workers.evacuated
         slots = worker.health.usable_slots(len(self._records) + 1, now)
-        avoided = self._risky_jobs.avoided(service, now)
-        usable = in_service and slots and sender.incarnation not in avoided
-        ranked = self._waiting.ranked(service, now) if usable else []
+        ranked = self._waiting.ranked(service, now) if in_service and slots else []
         best_remaining = None
         effects = []
         for rank, record in ranked:
-            if self._risky_jobs.is_confined(record, now):
+            if not self._risky_jobs.may_run_on(worker, record, now):
                 continue
             assignments = []
             for task in self._waiting.eligible_tasks(record):
@@ -512,13 +510,15 @@
 
         Returns the rank and the resources of the first task that fits no worker, or
         None if all tasks were assigned. Confined jobs are left out of that, since no
-        resources of other workers help them.
+        resources of other workers help them, and they do not wait behind others.
         """
+        first_blocked = None
         avoided = self._risky_jobs.avoided(service, now)
         for rank, record in self._risky_jobs.sort(self._waiting.ranked(service, now)):
-            assignments = []
-            blocked = None
             is_confined = self._risky_jobs.is_confined(record, now)
+            if first_blocked is not None and not is_confined:
+                continue
+            assignments = []
             for task in self._waiting.eligible_tasks(record):
                 step = record.job.steps[task.step]
                 if is_confined:
@@ -533,15 +533,16 @@
                         avoided,
                     )
                 if worker is None:
-                    blocked = None if is_confined else (rank, step.resources)
+                    if not is_confined:
+                        first_blocked = rank, step.resources
                     break
                 run = self._assign(record, task, worker, now)
                 assignments.append((task, worker))
                 runs.setdefault(worker.peer.incarnation, []).append(run)
             effects += self._assignment_events(record, assignments, now)
-            if blocked is not None:
-                return blocked
-        return None
+            if first_blocked is not None and self._crashes.is_calm:
+                break
+        return first_blocked
 
     def _assign(self, record, task, worker, now):
         """Record the assignment of a task to a worker and return its `Run`."""
--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -83,12 +83,24 @@
             return ranked
         return sorted(ranked, key=lambda pair: self._crashes.is_suspect(pair[1].job.id))
 
+    def may_run_on(self, worker, record, now):
+        """Return whether a job may use the resources that a worker's agent offers."""
+        if self._crashes.is_calm:
+            return True
+        if not self.is_confined(record, now):
+            avoided = self.avoided(record.queue.service, now)
+            return worker.peer.incarnation not in avoided
+        own_workers = self._own_workers(record, now)
+        # A single suspect takes what it can get.
+        usable = worker in own_workers or not self._crashes.is_risky(record.queue.name)
+        return usable and not self._must_wait(worker, record, now)
+
     def choose(self, record, step, now):
         """Return the worker for a task of a confined job, or None for not now."""
         service = record.queue.service
         candidates = list(self._own_workers(record, now))
         if not self._crashes.is_risky(record.queue.name):
-            # A single suspect does not wait for a worker that is down.
+            # Likewise, it does not wait for a worker that is down.
             candidates += self._confinement.other_workers(service, now)
         serving = self._workers.serving(service, now)
         for worker in candidates:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,9 +5,16 @@
 from ragwortlug.codes import Code, Verdict
 from ragwortlug.envelope import Peer, Send
 from ragwortlug.jobs.dispatcher import Dispatcher, RequestAnswer
-from ragwortlug.lease_messages import Renewal, RunsEnded, StartRuns
+from ragwortlug.lease_messages import (
+    Offer,
+    Renewal,
+    RunsEnded,
+    StartRuns,
+    WorkerCrashed,
+)
 from ragwortlug.lease_settings import RestartSettings
 from ragwortlug.restartable_model import (
+    CrashedRun,
     Queue,
     Resources,
     RestartableJob,
@@ -83,11 +90,39 @@
         assert message.resources == room
 
 
-def _ordered(effects):
-    """Return the runs that effects order."""
+class TestSuspects:
+    """A job that was lost with a crashed worker runs beside a backlog of others."""
+
+    def test_offered_resources_start_a_suspect(self):
+        dispatcher = Dispatcher(SETTINGS, random.Random(1))
+        room = Resources(6000, 64, 0)
+        agents = [Peer(f"tcp://10.1.0.{each}:1", f"agent-{each}") for each in (1, 2)]
+        state = WorkerState("carving", "patan", (), room, room, True)
+        for agent in agents:
+            dispatcher.on_renewal(agent, Renewal(0, state), 0.0)
+        queue = Queue("q", "a.example", "/q/", "carving")
+        jobs = [
+            RestartableJob(f"{each:016x}", "text", (Step(1, room, 100),))
+            for each in range(4)
+        ]
+        effects = []
+        for number, job in enumerate(jobs):
+            effects += dispatcher.submit(f"r{number}", job, queue, 9.0, 0.0)
+        lost = _ordered(effects, agents[0])[0]
+        task = CrashedRun(lost.job_id, 0, 0, "q", 10, True)
+        crash = WorkerCrashed(1, (task,))
+        ended = RunsEnded(((lost.number, RunEnd.LOST, 10.0),), Resources(), crash)
+        dispatcher.on_runs_ended(agents[0], ended, 0.02)
+        started = _ordered(dispatcher.on_offer(agents[1], Offer(1, room), 0.03))
+        assert [run.job_id for run in started] == [lost.job_id]
+
+
+def _ordered(effects, agent=None):
+    """Return the runs that effects order, of one agent or of all."""
     return [
         run
         for each in effects
         if isinstance(each, Send) and isinstance(each.body, StartRuns)
+        if agent in (None, each.receiver)
         for run in each.body.runs
     ]
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -126,7 +126,7 @@
 
 
 class TestCrashes:
-    """A worker that ends without notice is told apart from one that leaves."""
+    """The end of a worker without notice differs from a planned one."""
 
     def crashing(self, draining=False):
         """Return the events of a refused call with one run acknowledged of two."""
