Name the task under which workers crash at the same age of its run

When tasks crashed their worker 80 ms after their start, each crash pointed to whatever had started within the last 30 ms. Now a task under which three workers crashed at the same age of its run, within 20 ms, outweighs what had just started; the runs beside it were lost at any age.

--- a/ragwortlug/policy/crash_history.py
+++ b/ragwortlug/policy/crash_history.py
@@ -3,8 +3,8 @@
 A task may crash each worker that starts it. A crash ends all runs of the worker, so one
 crash proves nothing: most of the runs were only beside the cause. A crash points to the
 runs that had just started, or to all if none had. A task is given up once several
-crashes point to it; these no longer count against others. A task that ends well is
-cleared.
+crashes point to it, or came at the same age of its run; these no longer count against
+others. A task that ends well is cleared.
 """
 
 from collections import Counter, deque
@@ -16,6 +16,8 @@
 # one of them points to no other job; and any.
 MAX_RECENT_CRASHES = 2
 MAX_CRASHES = 3
+# Difference of the ages at which a task crashes its workers, if it is the cause.
+SAME_AGE_MS = 20
 # Crashes under a task after which it is given up, whatever they point to.
 MAX_CRASHES_BESIDE = 5
 # Crashes long after its start after which a task is suspect.
@@ -233,7 +235,11 @@
     def _likeliest_cause(self):
         """Return the task that enough unexplained crashes point to, or None."""
         total, recent, unambiguous = Counter(), Counter(), Counter()
+        ages_ms = {}
         for crash in self._crashes:
+            for task, run in crash.runs.items():
+                if run.acknowledged:
+                    ages_ms.setdefault(task, []).append(run.age_ms)
             recent_runs = crash.recent_runs
             is_only_job = len({run.job_id for run in recent_runs.values()}) == 1
             for task, run in (recent_runs or crash.runs).items():
@@ -242,15 +248,18 @@
                     total[task] += 1
                     recent[task] += task in recent_runs
                     unambiguous[task] += task in recent_runs and is_only_job
-        causes = [
+        regular = {task for task, ages in ages_ms.items() if _is_regular(ages)}
+        causes = regular | {
             task
             for task in total
             if total[task] >= MAX_CRASHES
             or (recent[task] >= MAX_RECENT_CRASHES and unambiguous[task])
-        ]
-        return max(
-            causes, key=lambda task: (recent[task], total[task], task), default=None
-        )
+        }
+
+        def weight(task):
+            return (task in regular, recent[task], total[task], task)
+
+        return max(causes, key=weight, default=None)
 
     def _update_jobs(self):
         """Determine the jobs that are suspect, and those that are given up."""
@@ -283,3 +292,8 @@
             if queue is not None and may_be_cause:
                 queue.crashed_at = now
                 queue.safe_jobs = 0
+
+
+def _is_regular(ages_ms):
+    """Return whether a task crashed enough workers at the same age of its run."""
+    return len(ages_ms) >= MAX_CRASHES and max(ages_ms) - min(ages_ms) <= SAME_AGE_MS
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -52,15 +52,29 @@
 
     def test_a_long_run_is_not_blamed_for_what_others_start(self):
         history = CrashHistory()
-        for number in range(1, 5):
+        for number, age_ms in enumerate((900, 1300, 400, 700), 1):
             job_id = f"{number:016x}"
             runs = (
-                CrashedRun(JOB, 0, 0, QUEUE, 900, True),
+                CrashedRun(JOB, 0, 0, QUEUE, age_ms, True),
                 CrashedRun(job_id, 0, 0, QUEUE, 10, True),
             )
             assert history.record("agent-1", WorkerCrashed(number, runs), 0.0) == []
         assert not history.is_suspect(JOB)
 
+    def test_crashes_at_the_same_age_outweigh_what_had_just_started(self):
+        history = CrashHistory()
+        given_up = []
+        for number, age_ms in enumerate((81, 80, 83)):
+            runs = (
+                CrashedRun(JOB, 0, 0, QUEUE, age_ms, True),
+                CrashedRun(OTHER, 0, 0, "stamp", 10 + number % 2, True),
+            )
+            if number == 1:
+                runs = runs[:1]
+            given_up += history.record("a", WorkerCrashed(number, runs), 0.0)
+        assert given_up == [JOB]
+        assert not history.is_suspect(OTHER)
+
     def test_a_repeated_report_counts_once(self):
         history = CrashHistory()
         crash(history, 1, 0.0, 10)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -84,9 +84,10 @@
         ]
         assert Code.JOB_FAILED not in {each.code for each in others}
 
+    @pytest.mark.parametrize("delay_s", [0.01, 0.08])
     @pytest.mark.parametrize("seed", range(3))
-    def test_leaves_workers_for_other_queues(self, seed):
-        play = play_crashing(seed, 0.1)
+    def test_leaves_workers_for_other_queues(self, seed, delay_s):
+        play = play_crashing(seed, 0.1, delay_s=delay_s)
         stamps = [
             each
             for each in play.callers.values()
