Leave the workers of other services alone while a queue is confined

While a queue of one service was confined, jobs of every service avoided the first quarter of their own workers, though none of them ran confined jobs. Only the services of confined queues set workers apart now. test_other_services_use_all_of_their_workers failed before (3 of 4 tasks started). The users' deployments have one service each, for which nothing changes.

--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -72,7 +72,9 @@
         self._feedback = RunFeedback(self._workers)
         self._late_work = {}
         self._crashes = CrashHistory()
-        self._risky_jobs = RiskyJobs(self._workers, self._crashes, self._outstanding)
+        self._risky_jobs = RiskyJobs(
+            self._workers, self._crashes, self._outstanding, self._service_of
+        )
         self._orders = Orders()
         self._demand_notifier = DemandNotifier(self._workers)
         self._entries = ()
@@ -322,7 +324,7 @@
     def tick(self, now):
         """Finish jobs past their deadline and remove agents that are silent."""
         self._crashes.expire(now)
-        effects = self._risky_jobs.queue_events(self._service_of, now)
+        effects = self._risky_jobs.queue_events(now)
         for worker in self._workers.remove_expired(now):
             effects.append(events.worker_lost(worker, now))
             for number in tuple(worker.outstanding):
--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -29,30 +29,27 @@
         What is known of tasks and queues.
     outstanding : dict
         The dispatcher's assignments: number to record and task.
+    service_of : callable
+        Returns the service of a queue by its name, or None.
     """
 
-    def __init__(self, workers, crashes, outstanding):
+    def __init__(self, workers, crashes, outstanding, service_of):
         self._workers = workers
         self._crashes = crashes
         self._outstanding = outstanding
+        self._service_of = service_of
         self._confinement = Confinement(workers)
         self._confined_queues = frozenset()
 
-    def queue_events(self, service_of, now):
-        """Return the events of the queues that were confined or released since.
-
-        Parameters
-        ----------
-        service_of : callable
-            Returns the service of a queue by its name, or None.
-        """
+    def queue_events(self, now):
+        """Return the events of the queues that were confined or released since."""
         risky = self._crashes.risky_queues
         changed, self._confined_queues = self._confined_queues ^ risky, risky
         return [
             events.queue_risk_changed(
                 name,
                 name in risky,
-                self._confinement.own_workers(service_of(name), now),
+                self._confinement.own_workers(self._service_of(name), now),
             )
             for name in sorted(changed)
         ]
@@ -69,7 +66,7 @@
 
     def avoided(self, service, now):
         """Return the incarnations of the agents that other jobs avoid, a frozenset."""
-        if not self._crashes.risky_queues:
+        if service not in map(self._service_of, self._crashes.risky_queues):
             return frozenset()
         shared = self._confinement.workers_of_all(service, now)
         return frozenset(worker.peer.incarnation for worker in shared)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -15,7 +15,9 @@
 from ragwortlug.lease_settings import RestartSettings
 from ragwortlug.restartable_model import (
     CrashedRun,
+    Orders,
     Queue,
+    QueueTable,
     Resources,
     RestartableJob,
     RunEnd,
@@ -117,6 +119,29 @@
         assert [run.job_id for run in started] == [lost.job_id]
 
 
+class TestConfinedQueue:
+    """The workers of a confined queue stay open to jobs of other services."""
+
+    def test_other_services_use_all_of_their_workers(self):
+        dispatcher = Dispatcher(SETTINGS, random.Random(1))
+        queues = (
+            Queue("bad", "a.example", "/b/", "carving"),
+            Queue("good", "a.example", "/g/", "bubbles"),
+        )
+        dispatcher.on_orders_changed(Orders(1, QueueTable(1, queues)), 0.0)
+        room = Resources(6000, 64, 0)
+        state = WorkerState("bubbles", "patan", (), room, room, True)
+        for number in range(4):
+            agent = Peer(f"tcp://10.1.0.{number}:1", f"agent-{number}")
+            dispatcher.on_renewal(agent, Renewal(0, state), 0.0)
+        for number in range(4):
+            task = CrashedRun(f"{number // 2:016x}", 0, 0, "bad", 10, True)
+            dispatcher.on_worker_crashed(agent, WorkerCrashed(number, (task,)), 0.1)
+        job = RestartableJob("00c0ffee00c0ffee", "text", (Step(4, room, 100),))
+        runs = _ordered(dispatcher.submit("r1", job, queues[1], 9.0, 0.2))
+        assert len(runs) == 4
+
+
 def _ordered(effects, agent=None):
     """Return the runs that effects order, of one agent or of all."""
     return [
