Stop runs again that an agent lists and no open job needs

Callers saw: a task ran twice at the same time after its caller's connection had broken. Cause: an entry that gave a job up sent one message to stop its runs. If it was lost, as with a connection that is replaced, the agent went on asking for renewals that named the run, and the entry renewed it until it ended by itself, while the caller's next attempt started the task at another entry. A lost start and a lost report were already found by comparing lists; a lost stop was not: the class of fault is a one-shot command without reconciliation.

--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -38,6 +38,7 @@
     RUNS_ORDERED = "runs_ordered", "Tasks of a job were sent to agents."
     RUN_FAILED = "run_failed", "A run ended without success."
     RUN_MOVED = "run_moved", "A late run is stopped and retried elsewhere."
+    RUNS_UNWANTED = "runs_unwanted", "An agent lists runs that no open job needs."
     RUN_REFUSED = "run_refused", "An agent refused to start a run."
     RUN_STOPPED = "run_stopped", "An agent stopped a run."
     RUN_UNSURE = "run_unsure", "A worker did not answer a request to start a run."
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -103,6 +103,12 @@
     return Event(EventName.RUN_MOVED, record.job.id, fields)
 
 
+def runs_unwanted(agent, assignment_numbers):
+    """Return the event of runs at an agent that no open job needs."""
+    fields = {"agent": agent.address, "numbers": list(assignment_numbers)}
+    return Event(EventName.RUNS_UNWANTED, "", fields)
+
+
 def acceptance_changed(worker, previous):
     """Return the event of a new agent or a change of its acceptance, as a list.
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -211,6 +211,7 @@
         )
         if missing_assignments:
             effects.append(Send(sender, StopRuns(missing_assignments)))
+        effects += self._stop_unwanted_runs(sender, message.assignment_numbers)
         return effects + self._dispatch(now)
 
     def on_runs_ended(self, sender, message, now):
@@ -474,6 +475,28 @@
             if self._workers.get(agent) is not None
         ]
 
+    def _stop_unwanted_runs(self, agent, assignment_numbers):
+        """Stop the runs that an agent lists and that no open job here needs.
+
+        The message that stopped them may have been lost with a connection.
+        """
+        unwanted = tuple(
+            number
+            for number in assignment_numbers
+            if not self._is_wanted(self._outstanding.get(number))
+        )
+        if not unwanted:
+            return []
+        stopped = events.runs_unwanted(agent, unwanted)
+        return [stopped, Send(agent, StopRuns(unwanted))]
+
+    def _is_wanted(self, assignment):
+        """Return whether an assignment, a record and a task, is one of an open job."""
+        if assignment is None:
+            return False
+        record, _ = assignment
+        return self._records.get(record.job.id) is record
+
     # Assignment.
 
     def _update_waiting(self, record):
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ragwortlug.codes import Code
@@ -42,12 +43,15 @@
         Longest delay of an order that is carried out late.
     fail : float
         Share of the runs that fail.
+    loses_message : callable
+        Returns whether a message is lost; called with its body.
     """
 
     lose: float = 0.0
     no_answer: float = 0.0
     late_s: float = 2.0
     fail: float = 0.0
+    loses_message: Callable[[object], bool] = lambda body: False
 
 
 @dataclass
@@ -147,6 +151,8 @@
         """Send a message between processes."""
         if sender.cut or self.chance(self.faults.lose):
             return
+        if self.faults.loses_message(body):
+            return
         delay_s = 0.0014 if self.rng.random() < 0.7 else 0.0002
         peer = sender.peer
         self.at(delay_s, lambda: self._arrive(peer, to, body))
@@ -242,11 +248,26 @@
         self._submit(caller)
         return caller
 
-    def _submit(self, caller):
-        """Send a job to an entry that lives."""
+    def leave(self, caller, noticed=True):
+        """Break a caller's connection; it submits its job again at another entry.
+
+        Parameters
+        ----------
+        noticed : bool
+            Whether the entry sees that the connection has closed.
+        """
+        entry, request = caller.entry, caller.request
+        if noticed:
+            entry.run(lambda now: entry.dispatcher.cancel(request, caller.job.id, now))
+        caller.request = ""
+        self._ask_again(caller, avoided=entry)
+
+    def _submit(self, caller, avoided=None):
+        """Send a job to an entry that lives, if possible not to the `avoided` one."""
         if self.now >= caller.deadline:
             return
         living = [each for each in self.homes if each.alive and not each.cut]
+        living = [each for each in living if each is not avoided] or living
         if not living:
             self.at(0.1, lambda: self._submit(caller))
             return
@@ -262,13 +283,13 @@
             )
         )
 
-    def _ask_again(self, caller):
+    def _ask_again(self, caller, avoided=None):
         """Submit a job once more, unless that has been done meanwhile."""
         tries = caller.tries
 
         def again():
             if caller.tries == tries:
-                self._submit(caller)
+                self._submit(caller, avoided)
 
         self.at(self.settings.caller_retry_ms / 1000, again)
 
