--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -17,19 +17,19 @@
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs import dispatch_events as events
-from ragwortlug.jobs.demand_notifier import DemandNotifier
 from ragwortlug.jobs.request_answer import RequestAnswer
 from ragwortlug.jobs.restartable import RestartableRecord
 from ragwortlug.jobs.risky_jobs import RiskyJobs
+from ragwortlug.jobs.run_assigner import RunAssigner
 from ragwortlug.jobs.run_feedback import RunFeedback
 from ragwortlug.jobs.shared_jobs import SharedJobs
 from ragwortlug.jobs.waiting_jobs import WaitingJobs
-from ragwortlug.lease_messages import Renewed, StartRuns, StopRuns
+from ragwortlug.lease_messages import Renewed, StopRuns
 from ragwortlug.policy.backlog import LateWork
 from ragwortlug.policy.crash_history import CrashHistory
 from ragwortlug.policy.job_ranking import misses_deadline, objective_ms
 from ragwortlug.policy.known_workers import KnownWorkers
-from ragwortlug.restartable_model import Orders, Resources, Run, RunEnd
+from ragwortlug.restartable_model import Orders, RunEnd
 
 MS_PER_S = 1000.0
 RETRY_AFTER_S = 1
@@ -51,8 +51,8 @@
         self._settings = settings
         self._records = {}
         self._waiting = WaitingJobs()
+        # Assignments that have not ended: number to record and task.
         self._outstanding = {}
-        self._next_number = 0
         self._workers = KnownWorkers(settings, rng)
         self._feedback = RunFeedback(self._workers)
         self._late_work = {}
@@ -61,7 +61,13 @@
             self._workers, self._crashes, self._outstanding, self._service_of
         )
         self._orders = Orders()
-        self._demand_notifier = DemandNotifier(self._workers)
+        self._assigner = RunAssigner(
+            self._workers,
+            self._waiting,
+            self._risky_jobs,
+            self._outstanding,
+            self._late_work,
+        )
         self._shared_jobs = SharedJobs(
             settings,
             self._records,
@@ -70,7 +76,6 @@
             self.submit,
         )
         self._entries = ()
-        self._dispatch_due = True
 
     @property
     def open_jobs(self):
@@ -166,7 +171,7 @@
         self._update_waiting(record)
         fields = self._job_fields(record, critical_path_ms, now)
         accepted = Event(EventName.JOB_ACCEPTED, job.id, fields)
-        self._dispatch_due = True
+        self._assigner.request()
         return [accepted, *self._dispatch(now)]
 
     def refuse(self, request_id, job_id, code, fields=None):
@@ -189,7 +194,7 @@
         if record.requests:
             return []
         abandoned = events.job_abandoned(record, now)
-        self._dispatch_due = True
+        self._assigner.request()
         return [abandoned, *self._drop(record), *self._dispatch(now)]
 
     def delete(self, job_id, now):
@@ -197,7 +202,7 @@
         record = self._records.get(job_id)
         if record is None:
             return None
-        self._dispatch_due = True
+        self._assigner.request()
         return self._finish_job(record, Code.CANCELLED, now) + self._dispatch(now)
 
     # Messages of agents.
@@ -215,7 +220,7 @@
             or previous_resources is None
             or not previous_resources.can_fit(worker.free_resources)
         ):
-            self._dispatch_due = True
+            self._assigner.request()
         entries = worker.entries_to_send(self._entries, now)
         effects = [Send(sender, Renewed(message.requested_at_ms, entries))]
         effects += events.acceptance_changed(worker, was_accepting)
@@ -240,7 +245,7 @@
         if worker is not None:
             worker.last_contact_at = now
             worker.on_free_reported(message.free_resources, now)
-        self._dispatch_due = True
+        self._assigner.request()
         return effects + self._dispatch(now)
 
     def on_offer(self, sender, message, now):
@@ -249,48 +254,11 @@
         if worker is None or worker.state is None or self._shared_jobs.has_paused(now):
             return []
         worker.last_contact_at = now
-        worker.notified = False
-        service = worker.state.service
-        free_resources = message.free_resources
-        runs = []
-        in_service = worker.state.data_centre not in self._workers.evacuated
-        slots = worker.health.usable_slots(len(self._records) + 1, now)
-        ranked = self._waiting.ranked(service, now) if in_service and slots else []
-        best_remaining = None
-        effects = []
-        for rank, record in ranked:
-            if not self._risky_jobs.may_run_on(worker, record, now):
-                continue
-            assignments = []
-            for task in self._waiting.eligible_tasks(record):
-                step = record.job.steps[task.step]
-                fits = free_resources.can_fit(step.resources) and len(runs) < max(
-                    slots, 1
-                )
-                labelled = not step.label or step.label in worker.state.labels
-                excluded = sender.incarnation in task.excluded_agents
-                if (
-                    fits
-                    and labelled
-                    and not excluded
-                    and worker.health.usable_slots(1, now)
-                ):
-                    free_resources = free_resources - step.resources
-                    runs.append(self._assign(record, task, worker, now))
-                    assignments.append((task, worker))
-                elif best_remaining is None:
-                    best_remaining = (rank, step.resources)
-            effects += self._assignment_events(record, assignments, now)
-        worker.notified = best_remaining is not None
-        rank, resources = best_remaining or (None, Resources())
-        message = StartRuns(
-            worker.requested_at_ms, tuple(runs), message.number, rank, resources
-        )
-        return [*effects, Send(sender, message)]
+        return self._assigner.answer_offer(worker, message, len(self._records), now)
 
     def on_worker_crashed(self, sender, message, now):
         """Record a crash of a worker without runs of this dispatcher."""
-        self._dispatch_due = True
+        self._assigner.request()
         return self._record_crash(sender, message, now) + self._dispatch(now)
 
     def on_progress(self, sender, message, now):
@@ -335,7 +303,7 @@
         self._orders = orders
         self._workers.evacuated = frozenset(orders.evacuated)
         applied = events.orders_applied(orders, self.version)
-        self._dispatch_due = True
+        self._assigner.request()
         return [applied, *self._dispatch(now)]
 
     def set_entries(self, entries, own_address):
@@ -362,7 +330,7 @@
             effects += self._check_deadline(record, now)
         for service in self._waiting.services:
             effects += self._refuse_unreachable_jobs(service, now)
-        self._dispatch_due = True
+        self._assigner.request()
         return effects + self._dispatch(now)
 
     # Decisions.
@@ -498,6 +466,15 @@
             if self._workers.get(agent) is not None
         ]
 
+    def _dispatch(self, now):
+        """Assign waiting tasks to free resources, if that is due and safe."""
+        return [] if self._shared_jobs.has_paused(now) else self._assigner.dispatch(now)
+
+    def _update_waiting(self, record):
+        """Add a job to the waiting jobs, or remove it, as its state requires."""
+        is_open = self._records.get(record.job.id) is record
+        self._waiting.update(record, is_open)
+
     def _stop_unwanted_runs(self, agent, assignment_numbers):
         """Stop the runs that an agent lists and that no open job here needs.
 
@@ -520,116 +497,6 @@
         record, _ = assignment
         return self._records.get(record.job.id) is record
 
-    # Assignment.
-
-    def _update_waiting(self, record):
-        """Add a job to the waiting jobs, or remove it, as its state requires."""
-        is_open = self._records.get(record.job.id) is record
-        self._waiting.update(record, is_open)
-
-    def _dispatch(self, now):
-        """Assign waiting tasks to free resources; notify agents if some still wait.
-
-        Does nothing unless a task was added, resources were freed or a tick passed
-        since the last call.
-        """
-        if not self._dispatch_due or self._shared_jobs.has_paused(now):
-            return []
-        self._dispatch_due = False
-        effects = []
-        for service in self._waiting.services:
-            runs = {}
-            blocked = self._assign_waiting(service, runs, effects, now)
-            rank, resources = blocked or (None, Resources())
-            for incarnation, assigned in runs.items():
-                worker = self._workers.get(incarnation)
-                message = StartRuns(
-                    worker.requested_at_ms, tuple(assigned), 0, rank, resources
-                )
-                effects.append(Send(worker.peer, message))
-                worker.on_demand_sent(rank, now)
-            if blocked is not None:
-                avoided = self._risky_jobs.avoided(service, now)
-                effects += self._demand_notifier.notify(service, *blocked, now, avoided)
-        return effects
-
-    def _assign_waiting(self, service, runs, effects, now):
-        """Assign tasks of a service.
-
-        Returns the rank and the resources of the first task that fits no worker, or
-        None if all tasks were assigned. Confined jobs are left out of that, since no
-        resources of other workers help them, and they do not wait behind others.
-        """
-        first_blocked = None
-        avoided = self._risky_jobs.avoided(service, now)
-        for rank, record in self._risky_jobs.sort(self._waiting.ranked(service, now)):
-            is_confined = self._risky_jobs.is_confined(record, now)
-            if first_blocked is not None and not is_confined:
-                continue
-            assignments = []
-            for task in self._waiting.eligible_tasks(record):
-                step = record.job.steps[task.step]
-                if is_confined:
-                    worker = self._risky_jobs.choose(record, step, now)
-                else:
-                    worker = self._workers.choose(
-                        service,
-                        step.resources,
-                        step.label,
-                        task.excluded_agents,
-                        now,
-                        avoided,
-                    )
-                if worker is None:
-                    if not is_confined:
-                        first_blocked = rank, step.resources
-                    break
-                run = self._assign(record, task, worker, now)
-                assignments.append((task, worker))
-                runs.setdefault(worker.peer.incarnation, []).append(run)
-            effects += self._assignment_events(record, assignments, now)
-            if first_blocked is not None and self._crashes.is_calm:
-                break
-        return first_blocked
-
-    def _assign(self, record, task, worker, now):
-        """Record the assignment of a task to a worker and return its `Run`."""
-        self._next_number += 1
-        number = self._next_number
-        step = record.job.steps[task.step]
-        self._count_start(record, task, now)
-        record.assign(task, number, worker.peer.incarnation, now)
-        self._outstanding[number] = (record, task)
-        worker.on_assigned(number, step.resources, now)
-        return Run(
-            number,
-            record.job.id,
-            task.step,
-            task.index,
-            task.attempt,
-            record.job.payload,
-            step.resources,
-            task.expected_ms * worker.slowdown,
-            record.queue.name,
-        )
-
-    def _count_start(self, record, task, now):
-        """Count the work of a task that is about to be started."""
-        late_work = self._late_work.get(record.queue.service)
-        if late_work is not None:
-            is_late = (
-                now + record.remaining_path_ms(now) / MS_PER_S > record.objective_at
-            )
-            work = record.resources(task).cpu * task.expected_ms
-            late_work.on_started(work, is_late)
-
-    def _assignment_events(self, record, assignments, now):
-        """Return the event of a job's new assignments, if there are any."""
-        if not assignments:
-            return []
-        self._update_waiting(record)
-        return [events.runs_assigned(record, assignments, now)]
-
 
 def _retry_after_s(code):
     """Return the seconds after which a caller may retry; 0 if it must not."""
--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -41,6 +41,11 @@
         self._confinement = Confinement(workers)
         self._confined_queues = frozenset()
 
+    @property
+    def is_calm(self):
+        """Return whether no job is confined."""
+        return self._crashes.is_calm
+
     def queue_events(self, now):
         """Return the events of the queues that were confined or released since."""
         risky = self._crashes.risky_queues
--- /dev/null
+++ b/ragwortlug/jobs/run_assigner.py
@@ -0,0 +1,186 @@
+"""Assigns the waiting tasks of one dispatcher to the resources of workers."""
+
+from ragwortlug.envelope import Send
+from ragwortlug.jobs import dispatch_events as events
+from ragwortlug.jobs.demand_notifier import DemandNotifier
+from ragwortlug.lease_messages import StartRuns
+from ragwortlug.restartable_model import Resources, Run
+
+MS_PER_S = 1000.0
+
+
+class RunAssigner:
+    """Decides which task starts where, in the order of work.
+
+    Parameters
+    ----------
+    workers : KnownWorkers
+        The workers known to the dispatcher.
+    waiting_jobs : WaitingJobs
+        The jobs that have waiting tasks.
+    risky_jobs : RiskyJobs
+        Confines jobs that may crash workers.
+    outstanding : dict
+        The assignments that have not ended, to which it adds: number to record and
+        task.
+    late_work : dict
+        The `LateWork` of each service, which counts the starts.
+    """
+
+    def __init__(self, workers, waiting_jobs, risky_jobs, outstanding, late_work):
+        self._workers = workers
+        self._waiting_jobs = waiting_jobs
+        self._risky_jobs = risky_jobs
+        self._outstanding = outstanding
+        self._late_work = late_work
+        self._demand_notifier = DemandNotifier(workers)
+        self._next_number = 0
+        self._due = True
+
+    def request(self):
+        """Let the next `dispatch` look for work, as something has changed."""
+        self._due = True
+
+    def dispatch(self, now):
+        """Assign waiting tasks to free resources; notify agents if some still wait.
+
+        Does nothing unless it was requested since the last call.
+        """
+        if not self._due:
+            return []
+        self._due = False
+        effects = []
+        for service in self._waiting_jobs.services:
+            runs = {}
+            blocked = self._assign_waiting(service, runs, effects, now)
+            rank, resources = blocked or (None, Resources())
+            for incarnation, assigned in runs.items():
+                worker = self._workers.get(incarnation)
+                message = StartRuns(
+                    worker.requested_at_ms, tuple(assigned), 0, rank, resources
+                )
+                effects.append(Send(worker.peer, message))
+                worker.on_demand_sent(rank, now)
+            if blocked is not None:
+                avoided = self._risky_jobs.avoided(service, now)
+                effects += self._demand_notifier.notify(service, *blocked, now, avoided)
+        return effects
+
+    def answer_offer(self, worker, offer, open_jobs, now):
+        """Assign runs to the resources that an agent reserves; return the effects.
+
+        `open_jobs` is the number of the dispatcher's jobs, an upper bound of the
+        starts that its worker may get while it is on probation.
+        """
+        worker.notified = False
+        service = worker.state.service
+        in_service = worker.state.data_centre not in self._workers.evacuated
+        slots = worker.health.usable_slots(open_jobs + 1, now)
+        ranked = self._waiting_jobs.ranked(service, now) if in_service and slots else []
+        free_resources = offer.free_resources
+        runs = []
+        best_remaining = None
+        effects = []
+        for rank, record in ranked:
+            if not self._risky_jobs.may_run_on(worker, record, now):
+                continue
+            assignments = []
+            for task in self._waiting_jobs.eligible_tasks(record):
+                step = record.job.steps[task.step]
+                if (
+                    free_resources.can_fit(step.resources)
+                    and len(runs) < max(slots, 1)
+                    and (not step.label or step.label in worker.state.labels)
+                    and worker.peer.incarnation not in task.excluded_agents
+                    and worker.health.usable_slots(1, now)
+                ):
+                    free_resources = free_resources - step.resources
+                    runs.append(self._assign(record, task, worker, now))
+                    assignments.append((task, worker))
+                elif best_remaining is None:
+                    best_remaining = (rank, step.resources)
+            effects += self._assignment_events(record, assignments, now)
+        worker.notified = best_remaining is not None
+        rank, resources = best_remaining or (None, Resources())
+        message = StartRuns(
+            worker.requested_at_ms, tuple(runs), offer.number, rank, resources
+        )
+        return [*effects, Send(worker.peer, message)]
+
+    def _assign_waiting(self, service, runs, effects, now):
+        """Assign tasks of a service.
+
+        Returns the rank and the resources of the first task that fits no worker, or
+        None if all tasks were assigned. Confined jobs are left out of that, since no
+        resources of other workers help them, and they do not wait behind others.
+        """
+        first_blocked = None
+        avoided = self._risky_jobs.avoided(service, now)
+        ranked = self._waiting_jobs.ranked(service, now)
+        for rank, record in self._risky_jobs.sort(ranked):
+            is_confined = self._risky_jobs.is_confined(record, now)
+            if first_blocked is not None and not is_confined:
+                continue
+            assignments = []
+            for task in self._waiting_jobs.eligible_tasks(record):
+                step = record.job.steps[task.step]
+                if is_confined:
+                    worker = self._risky_jobs.choose(record, step, now)
+                else:
+                    worker = self._workers.choose(
+                        service,
+                        step.resources,
+                        step.label,
+                        task.excluded_agents,
+                        now,
+                        avoided,
+                    )
+                if worker is None:
+                    if not is_confined:
+                        first_blocked = rank, step.resources
+                    break
+                run = self._assign(record, task, worker, now)
+                assignments.append((task, worker))
+                runs.setdefault(worker.peer.incarnation, []).append(run)
+            effects += self._assignment_events(record, assignments, now)
+            if first_blocked is not None and self._risky_jobs.is_calm:
+                break
+        return first_blocked
+
+    def _assign(self, record, task, worker, now):
+        """Record the assignment of a task to a worker and return its `Run`."""
+        self._next_number += 1
+        number = self._next_number
+        step = record.job.steps[task.step]
+        self._count_start(record, task, now)
+        record.assign(task, number, worker.peer.incarnation, now)
+        self._outstanding[number] = (record, task)
+        worker.on_assigned(number, step.resources, now)
+        return Run(
+            number,
+            record.job.id,
+            task.step,
+            task.index,
+            task.attempt,
+            record.job.payload,
+            step.resources,
+            task.expected_ms * worker.slowdown,
+            record.queue.name,
+        )
+
+    def _count_start(self, record, task, now):
+        """Count the work of a task that is about to be started."""
+        late_work = self._late_work.get(record.queue.service)
+        if late_work is not None:
+            is_late = (
+                now + record.remaining_path_ms(now) / MS_PER_S > record.objective_at
+            )
+            work = record.resources(task).cpu * task.expected_ms
+            late_work.on_started(work, is_late)
+
+    def _assignment_events(self, record, assignments, now):
+        """Return the event of a job's new assignments, if there are any."""
+        if not assignments:
+            return []
+        self._waiting_jobs.update(record, is_open=True)
+        return [events.runs_assigned(record, assignments, now)]
