Log whether a foreign run was reported as ended, and by which proof

Operators saw run_foreign without a way to tell a run whose end was reported too early from one that a former agent process had started. The agent keeps, besides the ends by assignment, the latest ends by attempt, with the proof on which each was reported; the event names end, proof, dispatcher and age. worker_gone, worker_crashed and worker_silent carry the boot and worker_silent what is left of the lease, so that their order can be read.

Before: two tests of TestRunsThatAgentDidNotStart failed with KeyError: 'reported'.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -12,6 +12,7 @@
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs.crash_log import CrashLog
+from ragwortlug.jobs.ended_runs import EndedRuns, EndProof
 from ragwortlug.jobs.local_runs import (
     LocalRun,
     Phase,
@@ -33,9 +34,7 @@
 MS_PER_S = 1000.0
 CLOCK_DRIFT_FACTOR = 1.03
 WORKER_ANSWER_TIMEOUT_S = 0.35
-MAX_KEPT_ENDS = 5000
 SNAPSHOT_RETRY_INTERVAL_S = 0.2
-NEVER_STARTED = (RunEnd.NOT_STARTED, 0.0)
 
 
 class LeasedRunner:
@@ -66,7 +65,7 @@
         self._crash_log = CrashLog()
         self._latest_snapshot_requested_at = 0.0
         self._last_answer_at = 0.0
-        self._recent_ends = {}
+        self._ended_runs = EndedRuns()
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
         self.leaving = False
@@ -135,7 +134,7 @@
         older = previous is not None and report.booted_at_ms < previous.booted_at_ms
         if older or report.boot_id == self._ended_boot_id:
             return []
-        effects = self._end_all_as_crashed(now)
+        effects = self._end_all_as_crashed(EndProof.REPLACED, now)
         self._worker = report
         self._has_snapshot = False
         self._fencing_token = report.booted_at_ms + report.clock_ms
@@ -151,22 +150,25 @@
         }
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
-    def on_departed(self, worker_id):
+    def on_departed(self, worker_id, now):
         """Handle a planned shutdown of the worker."""
         if self._worker is None or self._worker.id != worker_id:
             return []
         runs = len(self._runs)
-        return self._end_boot(self._end_all_as_lost(), runs)
+        effects = self._end_all_as_lost(EndProof.DEPARTED, now)
+        return self._end_boot(effects, EndProof.DEPARTED, runs)
 
     def on_replaced(self, now):
         """Handle the end of the current boot of the worker without a notice."""
         runs = len(self._runs)
-        return self._end_boot(self._end_all_as_crashed(now), runs)
+        effects = self._end_all_as_crashed(EndProof.REPLACED, now)
+        return self._end_boot(effects, EndProof.REPLACED, runs)
 
-    def _end_boot(self, effects, runs):
+    def _end_boot(self, effects, proof, runs):
         """Forget the current boot of the worker, whose `runs` have ended."""
         if self._worker is not None:
-            fields = {"worker": self._worker.id, "runs": runs}
+            fields = {"worker": self._worker.id, "runs": runs, "why": proof.value}
+            fields["born_ms"] = self._worker.booted_at_ms
             effects.append(Event(EventName.WORKER_GONE, "", fields))
             self._ended_boot_id = self._worker.boot_id
         self._worker = None
@@ -247,7 +249,7 @@
             if acknowledged:
                 started = local_run.phase is Phase.RUNNING or local_run.stopped
                 end = RunEnd.LOST if started else RunEnd.NOT_STARTED
-                effects += self._end_run(key, end, now)
+                effects += self._end_run(key, end, EndProof.NOT_LISTED, now)
         if is_first_snapshot:
             effects += self._request_renewals()
         return self._offer_then_report(effects, now)
@@ -271,14 +273,16 @@
         if silent and self._silent_since is None:
             self._silent_since = now
             fields = {"refused": refused, "runs": len(self._runs)}
+            fields["born_ms"] = self._worker.booted_at_ms
+            fields["lease_left_ms"] = round((self._lease_expires_at - now) * MS_PER_S)
             effects = [
                 Event(EventName.WORKER_SILENT, "", fields),
                 *self._request_renewals(),
             ]
         if refused:
-            effects += self._end_all_as_crashed(now)
+            effects += self._end_all_as_crashed(EndProof.REFUSED, now)
         elif now > self._lease_expires_at:
-            effects += self._end_all_as_lost()
+            effects += self._end_all_as_lost(EndProof.LEASE_EXPIRED, now)
         return effects
 
     def on_start_answered(self, key, answer, now):
@@ -300,7 +304,8 @@
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
             return self.on_replaced(now)
-        return self._offer_then_report(self._end_run(key, end, now), now)
+        effects = self._end_run(key, end, EndProof.NOT_STARTED, now)
+        return self._offer_then_report(effects, now)
 
     def on_stop_answered(self, task, attempt, answered, now):
         """Handle the worker's answer to a command to stop a run.
@@ -384,7 +389,7 @@
             key = (sender.incarnation, number)
             local_run = self._runs.get(key)
             if local_run is None:
-                ends.append((number, *self._recent_ends.setdefault(key, NEVER_STARTED)))
+                ends.append((number, *self._ended_runs.end_or_refuse(key)))
             elif not local_run.stopped:
                 effects.append(
                     event_of(EventName.RUN_STOPPED, local_run, why="ordered")
@@ -469,7 +474,7 @@
         """Return the end to report for a run that must not start, or None."""
         if not permitted or not self.accepting or self._clock_base is None:
             return RunEnd.NO_RESOURCES
-        if key in self._recent_ends:
+        if key in self._ended_runs:
             return RunEnd.NOT_STARTED
         task = (run.job_id, run.step, run.index)
         if any(local_run.task == task for local_run in self._runs.values()):
@@ -525,7 +530,7 @@
             self._last_end_number = row.number
             key = by_run.get((row.task, row.attempt))
             if key is not None and key in self._runs:
-                effects += self._end_run(key, row.end, now)
+                effects += self._end_run(key, row.end, EndProof.LISTED, now)
         return _merge_ends(effects)
 
     def _record_running(self, rows, by_run, now):
@@ -542,7 +547,9 @@
                 fields = {
                     "task": f"{row.task[1]}.{row.task[2]}",
                     "attempt": row.attempt,
+                    "token": self._fencing_token,
                 }
+                fields |= self._ended_runs.describe(row.task, row.attempt, now)
                 effects.append(Event(EventName.RUN_FOREIGN, row.task[0], fields))
                 effects.append(StopOnWorker(row.task, row.attempt, self._fencing_token))
                 continue
@@ -559,41 +566,39 @@
         reports = [Send(receiver, Progress(runs)) for receiver, runs in rows.items()]
         return effects + reports
 
-    def _end_run(self, key, end, now):
+    def _end_run(self, key, end, proof, now):
         """Remove a run that has ended and return the message that reports it."""
         local_run = self._runs.pop(key)
-        run_ms = 0.0 if now is None else (now - local_run.started_at) * MS_PER_S
+        run_ms = (now - local_run.started_at) * MS_PER_S
         if end is RunEnd.STOPPED and not local_run.stopped:
             end = RunEnd.LOST
-        self._recent_ends[key] = (end, run_ms)
-        while len(self._recent_ends) > MAX_KEPT_ENDS:
-            del self._recent_ends[next(iter(self._recent_ends))]
+        self._ended_runs.add(key, local_run, end, run_ms, proof, now)
         message = RunsEnded(((key[1], end, run_ms),), self._unreserved())
         return [Send(local_run.dispatcher, message)]
 
-    def _end_all_as_crashed(self, now):
+    def _end_all_as_crashed(self, proof, now):
         """End all runs as lost after their worker has ended without notice.
 
         A draining worker has announced its end, which also ends its runs.
         """
         if not self._runs or self._worker.draining:
-            return self._end_all_as_lost()
+            return self._end_all_as_lost(proof, now)
         crashed_at = now if self._failing_since is None else self._failing_since
         crashed = worker_crashed(self._worker, self._runs.values(), crashed_at)
         report = self._crash_log.add(self._runs.values(), crashed_at)
         ended = [
             Send(effect.receiver, msgspec.structs.replace(effect.body, crash=report))
-            for effect in self._end_all_as_lost()
+            for effect in self._end_all_as_lost(proof, now)
         ]
         informed = {effect.receiver for effect in ended}
         others = [peer for peer in self._permissions.peers if peer not in informed]
         return [crashed, *ended, *(Send(peer, report) for peer in others)]
 
-    def _end_all_as_lost(self):
+    def _end_all_as_lost(self, proof, now):
         """End all runs as lost, since the worker can no longer run them."""
         effects = []
         for key in tuple(self._runs):
-            effects += self._end_run(key, RunEnd.LOST, None)
+            effects += self._end_run(key, RunEnd.LOST, proof, now)
         self._permissions.withdraw()
         return _merge_ends(effects)
 
--- a/ragwortlug/jobs/local_runs.py
+++ b/ragwortlug/jobs/local_runs.py
@@ -162,5 +162,5 @@
         }
         for local_run in runs
     ]
-    fields = {"worker": report.id, "runs": rows}
+    fields = {"worker": report.id, "born_ms": report.booted_at_ms, "runs": rows}
     return Event(EventName.WORKER_CRASHED, "", fields)
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -131,7 +131,7 @@
             Tick: lambda _, now: self._on_tick(now),
             Leave: lambda _, now: runner.leave(),
             WorkerReport: runner.on_report,
-            WorkerDeparted: lambda event, now: runner.on_departed(event.worker_id),
+            WorkerDeparted: lambda event, now: runner.on_departed(event.worker_id, now),
             Looked: lambda event, now: runner.on_snapshot(
                 event.snapshot, event.asked_at, now
             ),
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -172,3 +172,31 @@
         assert agent.state().free_resources == Resources(9000, 900, 0)
         same = dataclasses.replace(report, sequence=3)
         assert agent.on_report(same, 10.2) == []
+
+
+class TestRunsThatAgentDidNotStart:
+    """The log tells a run that was reported as ended too early from any other."""
+
+    def test_the_report_of_its_end_is_in_the_event(self):
+        agent = runner()
+        agent.on_renewed(SENDER, Renewed(10_000), 10.0)
+        agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.0)
+        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.REJECTED, 10.1)
+        event = self._foreign(agent, (RUN.job_id, 0, 0))
+        assert event.fields["reported"] == RunEnd.NOT_STARTED.value
+        assert event.fields["proof"] == "not started"
+        assert event.fields["dispatcher"] == SENDER.address
+        assert event.fields["reported_ms_ago"] == 400
+
+    def test_a_run_of_a_former_process_was_never_reported(self):
+        event = self._foreign(runner(), ("00c0ffee00c0ffef", 0, 0))
+        assert event.fields["reported"] is None
+
+    @staticmethod
+    def _foreign(agent, task):
+        """Return the event of a snapshot that lists an unknown run."""
+        snapshot = WorkerSnapshot(500, 1, (ListedRun(task, 1, 0.5),), ())
+        effects = agent.on_snapshot(snapshot, 10.5, 10.5)
+        (event,) = [each for each in effects if isinstance(each, Event)]
+        assert event.name is EventName.RUN_FOREIGN
+        return event
