Move the worker's lease, token and silence out of the leased runner

The lease of a boot, its clock base, its fencing token and its silence are jobs/worker_lease.py now.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -24,16 +24,16 @@
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
     RequestSnapshot,
+    SnapshotRequest,
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
 )
+from ragwortlug.jobs.worker_lease import WorkerLease
 from ragwortlug.lease_messages import Progress, Renewal, RunsEnded
 from ragwortlug.restartable_model import Resources, RunEnd, WorkerState
 
 MS_PER_S = 1000.0
-CLOCK_DRIFT_FACTOR = 1.03
-WORKER_ANSWER_TIMEOUT_S = 0.35
 SNAPSHOT_RETRY_INTERVAL_S = 0.2
 
 
@@ -49,9 +49,8 @@
     def __init__(self, settings):
         self._settings = settings
         self._worker = None
-        self._fencing_token = 0
+        self._lease = WorkerLease()
         self._has_snapshot = False
-        self._clock_base = None
         self._last_end_number = 0
         self._runs = {}
         self._unassigned_runs = set()
@@ -59,12 +58,8 @@
         # Dispatchers whose latest report left out resources that were on offer, as
         # keys, so that their order does not depend on hashes.
         self._uninformed = {}
-        self._lease_expires_at = 0.0
-        self._silent_since = None
-        self._failing_since = None
         self._crash_log = CrashLog()
         self._latest_snapshot_requested_at = 0.0
-        self._last_answer_at = 0.0
         self._ended_runs = EndedRuns()
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
@@ -75,16 +70,6 @@
         """Return the worker's latest report, or None."""
         return self._worker
 
-    @property
-    def fencing_token(self):
-        """Return the fencing token of this agent's commands, or 0 before a report."""
-        return self._fencing_token
-
-    @property
-    def last_end_number(self):
-        """Return the number of the latest end that was read from the worker."""
-        return self._last_end_number
-
     @property
     def running(self):
         """Return the number of runs that the worker has or may have."""
@@ -98,7 +83,7 @@
             and self._has_snapshot
             and not self._worker.draining
             and not self.leaving
-            and self._silent_since is None
+            and self._lease.can_give
             and not self._unassigned_runs
         )
 
@@ -137,16 +122,13 @@
         effects = self._end_all_as_crashed(EndProof.REPLACED, now)
         self._worker = report
         self._has_snapshot = False
-        self._fencing_token = report.booted_at_ms + report.clock_ms
+        self._lease.begin_boot(report.booted_at_ms + report.clock_ms)
         self._last_end_number = 0
         self._unassigned_runs = set()
-        self._silent_since = None
-        self._clock_base = None
-        self._lease_expires_at = 0.0
         fields = {
             "worker": report.id,
             "born_ms": report.booted_at_ms,
-            "token": self._fencing_token,
+            "token": self._lease.fencing_token,
         }
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
@@ -178,20 +160,31 @@
     def on_fenced(self, clock_ms):
         """Raise the fencing token after the worker has refused it as too low."""
         if self._worker is not None:
-            self._fencing_token = max(
-                self._fencing_token + 1, self._worker.booted_at_ms + clock_ms
-            )
+            token = self._worker.booted_at_ms + clock_ms
+            self._lease.raise_token(max(token, self._lease.fencing_token + 1))
         return [RequestSnapshot()]
 
-    def lease_until_ms(self, now):
-        """Return when the worker's lease must end, in its clock's ms, or None.
+    def build_snapshot_request(self, now):
+        """Return the `SnapshotRequest` to make now, or None without a worker."""
+        if self._worker is None:
+            return None
+        return SnapshotRequest(
+            self._worker.boot_id,
+            now,
+            self._lease.fencing_token,
+            self._last_end_number,
+            self._give_lease(now),
+        )
+
+    def _give_lease(self, now):
+        """Give the worker a lease; return its end in ms of its clock, or None.
 
         A worker that has not answered a snapshot request gets no further lease.
         A lease is never shortened, and it covers all runs. It therefore ends with
         the earliest permission of the dispatchers that have runs here or may assign
         some, so that no run outlives its permission even if this process is paused.
         """
-        if self._clock_base is None or self._silent_since is not None:
+        if not self._lease.can_give:
             return None
         active_dispatchers = {
             local_run.dispatcher.incarnation for local_run in self._runs.values()
@@ -200,49 +193,45 @@
         expires_at = max(
             now, self._permissions.earliest_expiry(active_dispatchers, limit, now)
         )
-        self._lease_expires_at = max(self._lease_expires_at, expires_at)
-        sampled_at, clock_ms = self._clock_base
-        return clock_ms + int((expires_at - sampled_at) * MS_PER_S / CLOCK_DRIFT_FACTOR)
+        return self._lease.give(expires_at)
 
-    def on_snapshot(self, snapshot, asked_at, now):
-        """Handle a worker's snapshot, requested at `asked_at` (monotonic seconds)."""
+    def on_snapshot(self, snapshot, request, now):
+        """Handle a worker's snapshot, the answer to a `SnapshotRequest`."""
         if self._worker is None:
             return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
             return self.on_replaced(now)
-        self._last_answer_at = now
-        self._failing_since = None
+        self._lease.on_contact(now)
         by_run = {
             (local_run.task, local_run.run.attempt): key
             for key, local_run in self._runs.items()
         }
         effects = self._record_ends(snapshot.ended, by_run, now)
-        if asked_at < self._latest_snapshot_requested_at:
+        requested_at = request.requested_at
+        if requested_at < self._latest_snapshot_requested_at:
             return self._offer_then_report(effects, now)
-        self._latest_snapshot_requested_at = asked_at
-        self._clock_base = (now, snapshot.clock_ms)
-        if self._silent_since is not None:
-            fields = {"silent_ms": round((now - self._silent_since) * MS_PER_S)}
+        self._latest_snapshot_requested_at = requested_at
+        silent_s = self._lease.on_clock(snapshot.clock_ms, now)
+        if silent_s:
+            fields = {"silent_ms": round(silent_s * MS_PER_S)}
             effects.append(Event(EventName.WORKER_ANSWERS, "", fields))
-        self._silent_since = None
         is_first_snapshot = not self._has_snapshot
         if is_first_snapshot:
-            self._fencing_token = max(
-                self._fencing_token, self._worker.booted_at_ms + snapshot.clock_ms
-            )
+            token = self._worker.booted_at_ms + snapshot.clock_ms
+            self._lease.raise_token(token)
             self._has_snapshot = True
         effects += self._record_running(snapshot.running, by_run, now)
         listed = {(row.task, row.attempt) for row in snapshot.running}
         for key, local_run in tuple(self._runs.items()):
             acknowledged = (
                 local_run.acknowledged_at is not None
-                and asked_at >= local_run.acknowledged_at
+                and requested_at >= local_run.acknowledged_at
             )
             if (local_run.task, local_run.run.attempt) in listed:
                 continue
             if (
                 local_run.unacknowledged_since is not None
-                and asked_at > local_run.unacknowledged_since
+                and requested_at > local_run.unacknowledged_since
             ):
                 effects.append(self._mark_stopping(local_run))
                 local_run.unacknowledged_since = now
@@ -267,21 +256,17 @@
         if self._worker is None or boot != self._worker.boot_id:
             return []
         effects = []
-        if self._failing_since is None:
-            self._failing_since = now
-        silent = refused or now - self._last_answer_at > WORKER_ANSWER_TIMEOUT_S
-        if silent and self._silent_since is None:
-            self._silent_since = now
+        if self._lease.on_failure(refused, now):
             fields = {"refused": refused, "runs": len(self._runs)}
             fields["born_ms"] = self._worker.booted_at_ms
-            fields["lease_left_ms"] = round((self._lease_expires_at - now) * MS_PER_S)
+            fields["lease_left_ms"] = round((self._lease.expires_at - now) * MS_PER_S)
             effects = [
                 Event(EventName.WORKER_SILENT, "", fields),
                 *self._request_renewals(),
             ]
         if refused:
             effects += self._end_all_as_crashed(EndProof.REFUSED, now)
-        elif now > self._lease_expires_at:
+        elif now > self._lease.expires_at:
             effects += self._end_all_as_lost(EndProof.LEASE_EXPIRED, now)
         return effects
 
@@ -316,7 +301,7 @@
         for local_run in self._runs.values():
             if local_run.task == task and local_run.run.attempt == attempt:
                 if not answered:
-                    return [self._stop_command(local_run)]
+                    return [self._stop_command(task, attempt)]
                 local_run.acknowledged_at = now
                 local_run.unacknowledged_since = None
                 return [RequestSnapshot()]
@@ -339,7 +324,7 @@
         refused = []
         requested_at_ms = message.requested_at_ms
         permitted = self._permissions.allows(
-            sender, requested_at_ms, self._lease_expires_at, now
+            sender, requested_at_ms, self._lease.expires_at, now
         )
         for run in message.runs:
             key = (sender.incarnation, run.number)
@@ -360,10 +345,10 @@
                 free_resources=self.free_resources,
             )
             self._runs[key] = LocalRun(run, sender, now, now)
-            lease = self.lease_until_ms(now)
+            lease = self._give_lease(now)
             effects.append(
                 StartOnWorker(
-                    self._worker.boot_id, key, run, lease, self._fencing_token
+                    self._worker.boot_id, key, run, lease, self._lease.fencing_token
                 )
             )
         if refused:
@@ -446,7 +431,7 @@
         self._permissions.expire(now)
         needs_snapshot = (
             not self._has_snapshot
-            or self._silent_since is not None
+            or self._lease.silent_since is not None
             or self._unassigned_runs
         )
         if (
@@ -472,7 +457,7 @@
 
     def _refusal_end(self, sender, key, run, permitted):
         """Return the end to report for a run that must not start, or None."""
-        if not permitted or not self.accepting or self._clock_base is None:
+        if not permitted or not self.accepting:
             return RunEnd.NO_RESOURCES
         if key in self._ended_runs:
             return RunEnd.NOT_STARTED
@@ -547,11 +532,11 @@
                 fields = {
                     "task": f"{row.task[1]}.{row.task[2]}",
                     "attempt": row.attempt,
-                    "token": self._fencing_token,
+                    "token": self._lease.fencing_token,
                 }
                 fields |= self._ended_runs.describe(row.task, row.attempt, now)
                 effects.append(Event(EventName.RUN_FOREIGN, row.task[0], fields))
-                effects.append(StopOnWorker(row.task, row.attempt, self._fencing_token))
+                effects.append(self._stop_command(row.task, row.attempt))
                 continue
             if local_run.phase in (Phase.STARTING, Phase.UNACKNOWLEDGED):
                 local_run.phase = (
@@ -583,7 +568,8 @@
         """
         if not self._runs or self._worker.draining:
             return self._end_all_as_lost(proof, now)
-        crashed_at = now if self._failing_since is None else self._failing_since
+        failing_since = self._lease.failing_since
+        crashed_at = now if failing_since is None else failing_since
         crashed = worker_crashed(self._worker, self._runs.values(), crashed_at)
         report = self._crash_log.add(self._runs.values(), crashed_at)
         ended = [
@@ -607,11 +593,11 @@
         local_run.stopped = True
         if local_run.phase is Phase.RUNNING:
             local_run.phase = Phase.STOPPING
-        return self._stop_command(local_run)
+        return self._stop_command(local_run.task, local_run.run.attempt)
 
-    def _stop_command(self, local_run):
+    def _stop_command(self, task, attempt):
         """Return the command to stop a run."""
-        return StopOnWorker(local_run.task, local_run.run.attempt, self._fencing_token)
+        return StopOnWorker(task, attempt, self._lease.fencing_token)
 
     def _request_renewals(self):
         """Return the effect that requests a renewal from every dispatcher at once."""
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -92,6 +92,29 @@
     ended: tuple[ListedRun, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """A request for a snapshot, which renews the lease of all runs.
+
+    Attributes
+    ----------
+    boot : tuple
+        The boot id of the worker that is asked.
+    requested_at : float
+        Monotonic seconds.
+    last_end_number : int
+        Number of the latest end that was read.
+    lease_until_ms : int or None
+        Time at which the lease expires, on the worker's clock; None to give none.
+    """
+
+    boot: tuple[str, int]
+    requested_at: float
+    fencing_token: int
+    last_end_number: int
+    lease_until_ms: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class StartOnWorker:
     """An effect: start a run on a boot of the worker, under a lease.
--- /dev/null
+++ b/ragwortlug/jobs/worker_lease.py
@@ -0,0 +1,72 @@
+"""The lease that an agent gives to what runs on one boot of its worker."""
+
+MS_PER_S = 1000.0
+CLOCK_DRIFT_FACTOR = 1.03
+WORKER_ANSWER_TIMEOUT_S = 0.35
+
+
+class WorkerLease:
+    """The lease, the fencing token and the answers of the current boot.
+
+    Attributes
+    ----------
+    fencing_token : int
+        The token of the agent's commands; 0 before the first boot.
+    expires_at : float
+        Monotonic seconds at which every lease that was given must have expired.
+    silent_since, failing_since : float or None
+        Since when the worker is silent, and since when its calls fail.
+    """
+
+    def __init__(self):
+        self.fencing_token = 0
+        self.expires_at = 0.0
+        self.silent_since = None
+        self.failing_since = None
+        self._last_answer_at = 0.0
+        # When the worker's clock was read, and its ms.
+        self._clock_base = None
+
+    @property
+    def can_give(self):
+        """Return whether a lease may be given."""
+        return self._clock_base is not None and self.silent_since is None
+
+    def begin_boot(self, fencing_token):
+        """Forget the former boot; commands to the new one have this token."""
+        self.fencing_token = fencing_token
+        self.expires_at = 0.0
+        self.silent_since = None
+        self._clock_base = None
+
+    def raise_token(self, minimum):
+        """Raise the token of later commands to at least `minimum`."""
+        self.fencing_token = max(self.fencing_token, minimum)
+
+    def give(self, expires_at):
+        """Give a lease; return when it expires, in ms of the worker's clock."""
+        self.expires_at = max(self.expires_at, expires_at)
+        sampled_at, clock_ms = self._clock_base
+        return clock_ms + int((expires_at - sampled_at) * MS_PER_S / CLOCK_DRIFT_FACTOR)
+
+    def on_contact(self, now):
+        """Record that the worker answered a call."""
+        self._last_answer_at = now
+        self.failing_since = None
+
+    def on_clock(self, clock_ms, now):
+        """Record the clock in a current answer; return how long it was silent, or 0."""
+        self._clock_base = (now, clock_ms)
+        silent_s = 0.0 if self.silent_since is None else now - self.silent_since
+        self.silent_since = None
+        return silent_s
+
+    def on_failure(self, refused, now):
+        """Record a call without an answer; return whether the worker fell silent."""
+        if self.failing_since is None:
+            self.failing_since = now
+        silent = refused or now - self._last_answer_at > WORKER_ANSWER_TIMEOUT_S
+        if not silent or self.silent_since is not None:
+            return False
+        self.silent_since = now
+        return True
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -11,6 +11,7 @@
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
     RequestSnapshot,
+    SnapshotRequest,
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
@@ -38,7 +39,7 @@
     """The worker answered a snapshot request."""
 
     snapshot: WorkerSnapshot
-    asked_at: float
+    request: SnapshotRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +134,7 @@
             WorkerReport: runner.on_report,
             WorkerDeparted: lambda event, now: runner.on_departed(event.worker_id, now),
             Looked: lambda event, now: runner.on_snapshot(
-                event.snapshot, event.asked_at, now
+                event.snapshot, event.request, now
             ),
             LookFailed: lambda event, now: runner.on_snapshot_failed(
                 event.boot, event.refused, now
@@ -292,18 +293,11 @@
         The worker answers at the next end of a run, or after `wait_ms`.
         """
         worker = self._runner.worker
-        if worker is None:
+        request = self._runner.build_snapshot_request(self._timer.monotonic())
+        if request is None:
             return False
-        asked_at = self._timer.monotonic()
-        lease_ms = self._runner.lease_until_ms(asked_at)
-        fencing_token, last_end_number = (
-            self._runner.fencing_token,
-            self._runner.last_end_number,
-        )
         try:
-            snapshot = await self._client.request_snapshot(
-                worker, fencing_token, last_end_number, lease_ms, wait_ms
-            )
+            snapshot = await self._client.request_snapshot(worker, request, wait_ms)
         except WorkerFencedError as error:
             self._log.warning(
                 "The worker has received a higher fencing token: {}.", error
@@ -312,9 +306,10 @@
             return False
         except WorkerSilentError as error:
             self._log.warning("The worker did not answer: {}.", error)
-            self.post(None, LookFailed(worker.boot_id, error.refused))
+            self.post(None, LookFailed(request.boot, error.refused))
             return False
         if not wait_ms:
-            self._metrics.time("worker_look", self._timer.monotonic() - asked_at)
-        self.post(None, Looked(snapshot, asked_at))
+            look_s = self._timer.monotonic() - request.requested_at
+            self._metrics.time("worker_look", look_s)
+        self.post(None, Looked(snapshot, request))
         return True
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -140,9 +140,7 @@
             return False
         return status == HTTP_OK
 
-    async def request_snapshot(
-        self, worker, fencing_token, last_end_number, lease_until_ms, wait_ms
-    ):
+    async def request_snapshot(self, worker, request, wait_ms):
         """Renew the lease of all runs; return the `WorkerSnapshot`.
 
         Raises
@@ -153,12 +151,12 @@
             The worker accepts only a higher fencing token.
         """
         body = {
-            "fencing_token": fencing_token,
-            "last_seen": last_end_number,
+            "fencing_token": request.fencing_token,
+            "last_seen": request.last_end_number,
             "wait_ms": wait_ms,
         }
-        if lease_until_ms is not None:
-            body["deadline_ms"] = lease_until_ms
+        if request.lease_until_ms is not None:
+            body["deadline_ms"] = request.lease_until_ms
         try:
             status, raw = await self._post(worker, "/api/hold", body, wait_ms)
             if status == HTTP_OK:
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -1,6 +1,7 @@
 """Fake processes for plays: the product's state machines, and calls that may fail."""
 
 import random
+from dataclasses import replace
 
 from ragwortlug.envelope import Peer, Send
 from ragwortlug.events import Event
@@ -108,22 +109,24 @@
 
     def look(self, wait_s, after=lambda: None):
         """Look at the worker; the answer waits for an end."""
-        asked = self.play.now
-        lease = self.runner.lease_until_ms(asked)
-        token, seen = self.runner.fencing_token, self.runner.last_end_number
+        request = self.runner.build_snapshot_request(self.play.now)
         boot, worker_boot = self.boots, self.worker.boots
-        asked_boot = self.runner.worker.boot_id if self.runner.worker else None
+        if request is None:
+            self.play.at(0.05, after)
+            return
 
         def answer():
             if not self.worker.up or worker_boot != self.worker.boots:
                 failed(self.worker.up)
                 return
-            lists = self.worker.look(token, seen, lease)
-            done = lambda now: self.runner.on_snapshot(lists, asked, now)  # noqa: E731
+            lists = self.worker.look(request)
+            done = lambda now: self.runner.on_snapshot(lists, request, now)  # noqa: E731
             self.play.at(LOCAL_S, lambda: (self.run(done, boot), after()))
 
         def failed(refused):
-            lost = lambda now: self.runner.on_snapshot_failed(asked_boot, refused, now)  # noqa: E731
+            def lost(now):
+                return self.runner.on_snapshot_failed(request.boot, refused, now)
+
             self.play.at(LOCAL_S, lambda: self.run(lost, boot))
             self.play.at(0.05, after)
 
@@ -131,22 +134,22 @@
             if not self.worker.up or worker_boot != self.worker.boots:
                 failed(True)
                 return
-            lists = self.worker.look(token, seen, lease)
+            lists = self.worker.look(request)
             if lists.ended or not wait_s:
                 answer()
             else:
                 self.play.wait_for_end(self.worker, wait_s, answer)
 
         if self.play.chance(self.play.faults.no_answer):
-            self.play.late(lambda: self.late_look(worker_boot, token, lease))
+            self.play.late(lambda: self.late_look(worker_boot, request))
             self.play.at(wait_s + 0.15, lambda: failed(False))
         else:
             self.play.at(LOCAL_S, arrive)
 
-    def late_look(self, worker_boot, token, lease):
+    def late_look(self, worker_boot, request):
         """Carry out a look whose answer is lost."""
         if self.worker.up and self.worker.boots == worker_boot:
-            self.worker.look(token, 0, lease)
+            self.worker.look(replace(request, last_end_number=0))
 
     def perform(self, effects):
         """Carry out effects."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -132,11 +132,12 @@
         if key in self.running:
             self.play.at(STOP_S, lambda: self.finish(key, RunEnd.STOPPED, boot))
 
-    def look(self, token, seen, lease_ms):
+    def look(self, request):
         """Renew the lease and return the lists."""
         self.lapse()
-        self.token = max(self.token, token)
-        self.extend(lease_ms)
+        self.token = max(self.token, request.fencing_token)
+        self.extend(request.lease_until_ms)
+        seen = request.last_end_number
         self.ended = [each for each in self.ended if each.number > seen]
         running = tuple(
             ListedRun(key[0], key[1], self.share(each))
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -30,10 +30,15 @@
     """Return a runner whose worker is ready at second 10."""
     found = LeasedRunner(RestartSettings())
     found.on_report(REPORT, 10.0)
-    found.on_snapshot(WorkerSnapshot(0, 1, (), ()), 10.0, 10.0)
+    look(found, WorkerSnapshot(0, 1, (), ()), 10.0)
     return found
 
 
+def look(agent, snapshot, now):
+    """Return the effects of a snapshot that is requested and answered at once."""
+    return agent.on_snapshot(snapshot, agent.build_snapshot_request(now), now)
+
+
 def refusal(effects):
     """Return the message that refuses runs."""
     (found,) = [
@@ -113,7 +118,7 @@
         assert agent.on_wants(OTHER, Wants(RANK, RUN.resources), 10.0) == []
         ended = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
         snapshot = WorkerSnapshot(100, 1, (), (ended,))
-        return agent, agent.on_snapshot(snapshot, 10.1, 10.1)
+        return agent, look(agent, snapshot, 10.1)
 
 
 def messages(effects, kind):
@@ -196,7 +201,7 @@
     def _foreign(agent, task):
         """Return the event of a snapshot that lists an unknown run."""
         snapshot = WorkerSnapshot(500, 1, (ListedRun(task, 1, 0.5),), ())
-        effects = agent.on_snapshot(snapshot, 10.5, 10.5)
+        effects = look(agent, snapshot, 10.5)
         (event,) = [each for each in effects if isinstance(each, Event)]
         assert event.name is EventName.RUN_FOREIGN
         return event
