Let runs go on that the next boot of a worker carried out

A task ran twice at the same time. A worker may boot again under the id that it had. A start on its way passes the check of the id and is carried out by the new boot, which has no fencing token yet. The dispatcher started the task elsewhere; the agent stopped the run later as a foreign one. It was also blamed for a crash that it did not cause.

An answer to a start counts as an acknowledgement only if its clock can't be that of a later boot. Runs that the former boot acknowledged stay in that report as acknowledged; without unconfirmed starts they still end at once. The report of a crash was lost when ends were merged with an offer; it is kept.

The fakes let commands reach the next boot of the same id, refuse looks and stops with a low token, and give the clock in answers to starts. One signature in test_restartable.py takes that clock.

--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -42,6 +42,7 @@
     RUN_STOPPED = "run_stopped", "An agent stopped a run."
     RUN_UNSURE = "run_unsure", "A worker did not answer a request to start a run."
     RUN_FOREIGN = "run_foreign", "A worker lists a run its agent did not start."
+    RUN_ADOPTED = "run_adopted", "A later boot of a worker has a run of the former."
 
     WORKER_JOINED = "worker_joined", "The first message from an agent arrived."
     WORKER_CHANGED = "worker_changed", "A worker began or ceased to accept runs."
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -16,8 +16,10 @@
 from ragwortlug.jobs.local_runs import (
     LocalRun,
     Phase,
+    StartCommand,
     event_of,
     late_runs,
+    may_reach,
     worker_crashed,
 )
 from ragwortlug.jobs.permissions import Permissions
@@ -63,6 +65,9 @@
         self._ended_runs = EndedRuns()
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
+        # The latest report of a boot that was replaced, and when it was first missed,
+        # while it is open which of its runs the later boot has.
+        self._replaced_boot = None
         self.leaving = False
 
     @property
@@ -119,7 +124,7 @@
         older = previous is not None and report.booted_at_ms < previous.booted_at_ms
         if older or report.boot_id == self._ended_boot_id:
             return []
-        effects = self._end_all_as_crashed(EndProof.REPLACED, now)
+        effects = self._on_boot_replaced(report.id, now)
         self._worker = report
         self._has_snapshot = False
         self._lease.begin_boot(report.booted_at_ms + report.clock_ms)
@@ -129,6 +134,7 @@
             "worker": report.id,
             "born_ms": report.booted_at_ms,
             "token": self._lease.fencing_token,
+            "open_runs": len(self._runs),
         }
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
@@ -137,19 +143,38 @@
         if self._worker is None or self._worker.id != worker_id:
             return []
         runs = len(self._runs)
-        effects = self._end_all_as_lost(EndProof.DEPARTED, now)
+        effects = self._end_as_lost(tuple(self._runs), EndProof.DEPARTED, now)
         return self._end_boot(effects, EndProof.DEPARTED, runs)
 
-    def on_replaced(self, now):
-        """Handle the end of the current boot of the worker without a notice."""
+    def on_replaced(self, later_id, now):
+        """Handle the end of the current boot of the worker without a notice.
+
+        `later_id` is the id of the boot that answered instead, None for another one.
+        """
         runs = len(self._runs)
-        effects = self._end_all_as_crashed(EndProof.REPLACED, now)
+        effects = self._on_boot_replaced(later_id, now)
         return self._end_boot(effects, EndProof.REPLACED, runs)
 
+    def _on_boot_replaced(self, later_id, now):
+        """End the runs of a boot that a later one has replaced.
+
+        If the later boot may have one of them, all wait for its first snapshot, so
+        that the crash is reported once, without the runs that go on.
+        """
+        if self._worker is not None and self._replaced_boot is None:
+            self._replaced_boot = (self._worker, self._failing_since(now))
+        if self._replaced_boot is None:
+            return []
+        former, _ = self._replaced_boot
+        if may_reach(self._runs.values(), former, later_id):
+            return []
+        return self._end_as_crashed(tuple(self._runs), EndProof.REPLACED, now)
+
     def _end_boot(self, effects, proof, runs):
-        """Forget the current boot of the worker, whose `runs` have ended."""
+        """Forget the current boot of the worker, which had `runs` runs."""
         if self._worker is not None:
             fields = {"worker": self._worker.id, "runs": runs, "why": proof.value}
+            fields |= {"open_runs": len(self._runs)}
             fields["born_ms"] = self._worker.booted_at_ms
             effects.append(Event(EventName.WORKER_GONE, "", fields))
             self._ended_boot_id = self._worker.boot_id
@@ -199,8 +224,10 @@
         """Handle a worker's snapshot, the answer to a `SnapshotRequest`."""
         if self._worker is None:
             return []
+        if request.boot != self._worker.boot_id:
+            return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
-            return self.on_replaced(now)
+            return self.on_replaced(self._worker.id, now)
         self._lease.on_contact(now)
         by_run = {
             (local_run.task, local_run.run.attempt): key
@@ -222,6 +249,13 @@
             self._has_snapshot = True
         effects += self._record_running(snapshot.running, by_run, now)
         listed = {(row.task, row.attempt) for row in snapshot.running}
+        if self._replaced_boot is not None:
+            former_runs = [
+                key
+                for key, local_run in self._runs.items()
+                if (local_run.task, local_run.run.attempt) not in listed
+            ]
+            effects += self._end_as_crashed(former_runs, EndProof.REPLACED, now)
         for key, local_run in tuple(self._runs.items()):
             acknowledged = (
                 local_run.acknowledged_at is not None
@@ -265,22 +299,29 @@
                 *self._request_renewals(),
             ]
         if refused:
-            effects += self._end_all_as_crashed(EndProof.REFUSED, now)
+            effects += self._end_as_crashed(tuple(self._runs), EndProof.REFUSED, now)
         elif now > self._lease.expires_at:
-            effects += self._end_all_as_lost(EndProof.LEASE_EXPIRED, now)
+            effects += self._end_as_lost(tuple(self._runs), EndProof.LEASE_EXPIRED, now)
         return effects
 
-    def on_start_answered(self, key, answer, now):
-        """Handle the worker's answer to a command to start a run."""
+    def on_start_answered(self, key, answer, now, clock=None):
+        """Handle the worker's answer to a command to start a run.
+
+        `clock` is the `WorkerClock` of the answer, if there is one. An answer of a
+        later boot with the same id counts as none: its next snapshot decides.
+        """
         local_run = self._runs.get(key)
         if local_run is None:
             return []
-        if answer is StartAnswer.STARTED:
+        started = answer is StartAnswer.STARTED
+        command = local_run.command
+        if started and command.was_answered_by_its_boot(clock, now):
             if local_run.phase is not Phase.STOPPING:
                 local_run.phase = Phase.RUNNING
+            local_run.started_on = command.boot
             local_run.acknowledged_at = now
             return []
-        if answer is StartAnswer.NO_ANSWER:
+        if started or answer is StartAnswer.NO_ANSWER:
             if local_run.phase is Phase.STARTING:
                 local_run.phase = Phase.UNACKNOWLEDGED
                 local_run.unacknowledged_since = now
@@ -288,7 +329,7 @@
             return [unacknowledged, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
-            return self.on_replaced(now)
+            return self.on_replaced(None, now)
         effects = self._end_run(key, end, EndProof.NOT_STARTED, now)
         return self._offer_then_report(effects, now)
 
@@ -344,13 +385,11 @@
                 self.free_resources.can_fit(run.resources),
                 free_resources=self.free_resources,
             )
-            self._runs[key] = LocalRun(run, sender, now, now)
+            boot, token = self._worker.boot_id, self._lease.fencing_token
+            command = StartCommand(boot, token, self._lease.clock_base)
+            self._runs[key] = LocalRun(run, sender, now, now, command)
             lease = self._give_lease(now)
-            effects.append(
-                StartOnWorker(
-                    self._worker.boot_id, key, run, lease, self._lease.fencing_token
-                )
-            )
+            effects.append(StartOnWorker(boot, key, run, lease, token))
         if refused:
             # Without a permission, free resources can't be used before the next
             # renewal. If they were reported, the dispatcher would assign the same
@@ -486,9 +525,10 @@
         reports = []
         for effect in effects:
             if isinstance(effect, Send) and isinstance(effect.body, RunsEnded):
-                effect = Send(
-                    effect.receiver, RunsEnded(effect.body.ends, self._unreserved())
+                body = msgspec.structs.replace(
+                    effect.body, free_resources=self._unreserved()
                 )
+                effect = Send(effect.receiver, body)
                 if self._permissions.offering:
                     self._uninformed[effect.receiver] = None
             reports.append(effect)
@@ -538,6 +578,9 @@
                 effects.append(Event(EventName.RUN_FOREIGN, row.task[0], fields))
                 effects.append(self._stop_command(row.task, row.attempt))
                 continue
+            if self._replaced_boot is not None:
+                effects += self._adopt(local_run)
+            local_run.started_on = self._worker.boot_id
             if local_run.phase in (Phase.STARTING, Phase.UNACKNOWLEDGED):
                 local_run.phase = (
                     Phase.RUNNING if not local_run.stopped else Phase.STOPPING
@@ -561,29 +604,45 @@
         message = RunsEnded(((key[1], end, run_ms),), self._unreserved())
         return [Send(local_run.dispatcher, message)]
 
-    def _end_all_as_crashed(self, proof, now):
-        """End all runs as lost after their worker has ended without notice.
+    def _adopt(self, local_run):
+        """Go on with a run that a later boot carried out; return the effects."""
+        effects = [event_of(EventName.RUN_ADOPTED, local_run)]
+        if local_run.stopped:
+            effects.append(self._mark_stopping(local_run))
+        return effects
+
+    def _failing_since(self, now):
+        """Return since when calls to the worker have failed, `now` if they have not."""
+        failing_since = self._lease.failing_since
+        return now if failing_since is None else failing_since
+
+    def _end_as_crashed(self, keys, proof, now):
+        """End runs as lost after their worker has ended without notice.
 
         A draining worker has announced its end, which also ends its runs.
         """
-        if not self._runs or self._worker.draining:
-            return self._end_all_as_lost(proof, now)
-        failing_since = self._lease.failing_since
-        crashed_at = now if failing_since is None else failing_since
-        crashed = worker_crashed(self._worker, self._runs.values(), crashed_at)
-        report = self._crash_log.add(self._runs.values(), crashed_at)
+        former, crashed_at = self._replaced_boot or (
+            self._worker,
+            self._failing_since(now),
+        )
+        self._replaced_boot = None
+        if not keys or former.draining:
+            return self._end_as_lost(keys, proof, now)
+        runs = [self._runs[key] for key in keys]
+        crashed = worker_crashed(former, runs, crashed_at)
+        report = self._crash_log.add(runs, crashed_at)
         ended = [
             Send(effect.receiver, msgspec.structs.replace(effect.body, crash=report))
-            for effect in self._end_all_as_lost(proof, now)
+            for effect in self._end_as_lost(keys, proof, now)
         ]
         informed = {effect.receiver for effect in ended}
         others = [peer for peer in self._permissions.peers if peer not in informed]
         return [crashed, *ended, *(Send(peer, report) for peer in others)]
 
-    def _end_all_as_lost(self, proof, now):
-        """End all runs as lost, since the worker can no longer run them."""
+    def _end_as_lost(self, keys, proof, now):
+        """End runs as lost, since the worker can no longer run them."""
         effects = []
-        for key in tuple(self._runs):
+        for key in keys:
             effects += self._end_run(key, RunEnd.LOST, proof, now)
         self._permissions.withdraw()
         return _merge_ends(effects)
--- a/ragwortlug/jobs/local_runs.py
+++ b/ragwortlug/jobs/local_runs.py
@@ -22,6 +22,36 @@
     STOPPING = "stopping"
 
 
+@dataclass(frozen=True, slots=True)
+class StartCommand:
+    """What tells the boot that carried out a command to start a run.
+
+    Attributes
+    ----------
+    boot : tuple
+        The boot that it was sent to.
+    clock_base : tuple of (float, int)
+        When the clock of that boot was read last before, and its ms.
+    """
+
+    boot: tuple[str, int]
+    fencing_token: int
+    clock_base: tuple[float, int]
+
+    def was_answered_by_its_boot(self, clock, now):
+        """Return whether an answer is known to come from the boot it was sent to.
+
+        The clock of a later boot began after `clock_base` was read.
+        """
+        if clock is None:
+            return False
+        if clock.booted_at_ms:
+            return clock.booted_at_ms == self.boot[1]
+        read_at, clock_ms = self.clock_base
+        later_clock_ms = (now - read_at) * MS_PER_S
+        return clock.clock_ms >= clock_ms and clock.clock_ms > later_clock_ms
+
+
 @dataclass(slots=True)
 class LocalRun:
     """A run that the worker has, or may have.
@@ -37,18 +67,24 @@
         the worker does not have it and never will.
     unacknowledged_since : float or None
         When the command to start the run failed to get an answer.
+    command : StartCommand
+        The command to start it.
+    started_on : tuple or None
+        The boot that is known to have started it.
     """
 
     run: Run
     dispatcher: Peer
     started_at: float
     sampled_at: float
+    command: StartCommand
     sampled_fraction: float = 0.0
     relative_speed: float = 1.0
     phase: Phase = Phase.STARTING
     acknowledged_at: float | None = None
     unacknowledged_since: float | None = None
     stopped: bool = False
+    started_on: tuple | None = None
 
     @property
     def task(self):
@@ -130,6 +166,21 @@
     return rows
 
 
+def may_reach(local_runs, former, later_id):
+    """Return whether a later boot may carry out a command sent to a former one.
+
+    Parameters
+    ----------
+    former : WorkerReport
+        The latest report of the former boot.
+    later_id : str or None
+        The id of the later boot, None if unknown. Commands name the id of their boot.
+    """
+    return former.id == later_id and any(
+        local_run.started_on is None for local_run in local_runs
+    )
+
+
 def event_of(name, local_run, **fields):
     """Return an event about a run."""
     fields |= {
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -53,6 +53,14 @@
     OTHER_BOOT = "other boot"
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerClock:
+    """The clock in a worker's answer, and the boot that answers, 0 if not given."""
+
+    clock_ms: int
+    booted_at_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ListedRun:
     """A run in a snapshot of a worker.
--- a/ragwortlug/jobs/worker_lease.py
+++ b/ragwortlug/jobs/worker_lease.py
@@ -24,17 +24,21 @@
         self.silent_since = None
         self.failing_since = None
         self._last_answer_at = 0.0
-        # When the worker's clock was read, and its ms.
         self._clock_base = None
 
+    @property
+    def clock_base(self):
+        """Return when the worker's clock was read last, and its ms, or None."""
+        return self._clock_base
+
     @property
     def can_give(self):
         """Return whether a lease may be given."""
         return self._clock_base is not None and self.silent_since is None
 
     def begin_boot(self, fencing_token):
-        """Forget the former boot; commands to the new one have this token."""
-        self.fencing_token = fencing_token
+        """Forget the former boot; commands to the new one have a higher token."""
+        self.raise_token(max(fencing_token, self.fencing_token + 1))
         self.expires_at = 0.0
         self.silent_since = None
         self._clock_base = None
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -15,6 +15,7 @@
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    WorkerClock,
     WorkerReport,
     WorkerSnapshot,
 )
@@ -77,6 +78,7 @@
 
     key: tuple
     answer: StartAnswer
+    clock: WorkerClock | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,7 +203,7 @@
     def _on_start_answered(self, event, now):
         """Count and process the worker's answer to a start."""
         self._metrics.count("starts_answered", event.answer.name)
-        return self._runner.on_start_answered(event.key, event.answer, now)
+        return self._runner.on_start_answered(event.key, event.answer, now, event.clock)
 
     def _on_tick(self, now):
         """Request the renewals that are due and run the runner's periodic work."""
@@ -249,12 +251,12 @@
         """Start a run on the worker and post the answer."""
         worker = self._runner.worker
         if worker is None or worker.boot_id != command.boot:
-            answer = StartAnswer.REJECTED
+            answer, clock = StartAnswer.REJECTED, None
         else:
             started_at = self._timer.monotonic()
-            answer = await self._client.start_run(worker, command)
+            answer, clock = await self._client.start_run(worker, command)
             self._metrics.time("worker_start", self._timer.monotonic() - started_at)
-        self.post(None, StartAnswered(command.key, answer))
+        self.post(None, StartAnswered(command.key, answer, clock))
 
     async def _stop_run(self, command):
         """Stop a run on the worker and post whether it answered."""
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -11,7 +11,12 @@
 from ragwortlug.codes import Code
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import decode_body
-from ragwortlug.jobs.worker_calls import ListedRun, WorkerReport, WorkerSnapshot
+from ragwortlug.jobs.worker_calls import (
+    ListedRun,
+    WorkerClock,
+    WorkerReport,
+    WorkerSnapshot,
+)
 from ragwortlug.restartable_model import (
     MAX_STEP_TASKS,
     Queue,
@@ -92,8 +97,9 @@
 class WireClock(msgspec.Struct):
     """Fields of every worker response; `clock_ms` is its monotonic clock."""
 
-    clock_ms: int = 0
+    clock_ms: int
     reason: str = ""
+    born: int = 0
 
 
 class WireLists(msgspec.Struct):
@@ -239,9 +245,13 @@
 
 
 def clock_of(raw):
-    """Return the worker's clock, in ms, and its reason for a refusal."""
-    wire = _clocks.decode(raw)
-    return wire.clock_ms, wire.reason
+    """Return the `WorkerClock` in a response, None if invalid, and its reason."""
+    try:
+        wire = _clocks.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        log.error("Failed to decode a worker's answer: {}.", error)
+        return None, ""
+    return WorkerClock(wire.clock_ms, wire.born), wire.reason
 
 
 def table_of(raw):
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -99,7 +99,10 @@
             await self._session.close()
 
     async def start_run(self, worker, command):
-        """Ask the worker to start a run; return a `StartAnswer`."""
+        """Ask the worker to start a run; return its `StartAnswer` and `WorkerClock`.
+
+        The clock is None without an answer that gives it.
+        """
         body = {
             "task": wire.task_name(
                 (command.run.job_id, command.run.step, command.run.index)
@@ -113,18 +116,19 @@
             status, raw = await self._post(worker, "/api/run-start", body)
         except _NO_ANSWER_ERRORS as error:
             if _is_refused(error):
-                return StartAnswer.REJECTED
+                return StartAnswer.REJECTED, None
             log.warning("No answer from the worker to a start: {!r}.", error)
-            return StartAnswer.NO_ANSWER
-        if status == HTTP_OK:
-            return StartAnswer.STARTED
+            return StartAnswer.NO_ANSWER, None
         if status == HTTP_OTHER_BOOT:
-            return StartAnswer.OTHER_BOOT
-        reason = wire.clock_of(raw)[1] if status == HTTP_CONFLICT else ""
+            return StartAnswer.OTHER_BOOT, None
+        clock, reason = wire.clock_of(raw)
+        if status == HTTP_OK:
+            return StartAnswer.STARTED, clock
         log.warning(
             "The worker rejected a start: status {}, reason {!r}.", status, reason
         )
-        return StartAnswer.OUTDATED if reason == "old" else StartAnswer.REJECTED
+        outdated = status == HTTP_CONFLICT and reason == "old"
+        return (StartAnswer.OUTDATED if outdated else StartAnswer.REJECTED), clock
 
     async def stop_run(self, worker, command):
         """Ask the worker to stop a run; return whether it answered with status 200."""
@@ -162,8 +166,8 @@
             if status == HTTP_OK:
                 return wire.snapshot_of(raw)
             if status == HTTP_CONFLICT:
-                clock_ms, reason = wire.clock_of(raw)
-                raise WorkerFencedError(reason, clock_ms)
+                clock, reason = wire.clock_of(raw)
+                raise WorkerFencedError(reason, clock.clock_ms if clock else 0)
         except _NO_ANSWER_ERRORS as error:
             raise WorkerSilentError(repr(error), _is_refused(error)) from error
         raise WorkerSilentError(f"status {status}", status == HTTP_OTHER_BOOT)
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -13,6 +13,7 @@
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    WorkerClock,
 )
 from ragwortlug.lease_messages import (
     Offer,
@@ -110,17 +111,23 @@
     def look(self, wait_s, after=lambda: None):
         """Look at the worker; the answer waits for an end."""
         request = self.runner.build_snapshot_request(self.play.now)
-        boot, worker_boot = self.boots, self.worker.boots
+        boot = self.boots
         if request is None:
             self.play.at(0.05, after)
             return
 
-        def answer():
+        def answer(worker_boot):
             if not self.worker.up or worker_boot != self.worker.boots:
-                failed(self.worker.up)
+                failed(False)
                 return
             lists = self.worker.look(request)
-            done = lambda now: self.runner.on_snapshot(lists, request, now)  # noqa: E731
+            clock_ms = self.worker.clock_ms()
+
+            def done(now):
+                if lists is None:
+                    return self.runner.on_fenced(clock_ms)
+                return self.runner.on_snapshot(lists, request, now)
+
             self.play.at(LOCAL_S, lambda: (self.run(done, boot), after()))
 
         def failed(refused):
@@ -131,24 +138,25 @@
             self.play.at(0.05, after)
 
         def arrive():
-            if not self.worker.up or worker_boot != self.worker.boots:
+            if not self.worker.up:
                 failed(True)
                 return
             lists = self.worker.look(request)
-            if lists.ended or not wait_s:
-                answer()
+            worker_boot = self.worker.boots
+            if lists is None or lists.ended or not wait_s:
+                answer(worker_boot)
             else:
-                self.play.wait_for_end(self.worker, wait_s, answer)
+                self.play.wait_for_end(self.worker, wait_s, lambda: answer(worker_boot))
 
         if self.play.chance(self.play.faults.no_answer):
-            self.play.late(lambda: self.late_look(worker_boot, request))
+            self.play.late(lambda: self.late_look(request))
             self.play.at(wait_s + 0.15, lambda: failed(False))
         else:
-            self.play.at(LOCAL_S, arrive)
+            self.play.travel(arrive)
 
-    def late_look(self, worker_boot, request):
-        """Carry out a look whose answer is lost."""
-        if self.worker.up and self.worker.boots == worker_boot:
+    def late_look(self, request):
+        """Carry out a look whose answer is lost, if need be by the next boot."""
+        if self.worker.up:
             self.worker.look(replace(request, last_end_number=0))
 
     def perform(self, effects):
@@ -170,34 +178,32 @@
 
     def start(self, order):
         """Order a run from the worker."""
-        boot, worker_boot = self.boots, self.worker.boots
+        boot = self.boots
 
-        def answered(answer):
+        def answered(answer, clock=None):
             self.run(
-                lambda now: self.runner.on_start_answered(order.key, answer, now), boot
+                lambda now: self.runner.on_start_answered(
+                    order.key, answer, now, clock
+                ),
+                boot,
             )
 
         def arrive():
-            if not self.worker.up or worker_boot != self.worker.boots:
+            if not self.worker.up:
                 answered(StartAnswer.REJECTED)
                 return
             if self.play.crashes_worker(order.run):
                 delay_s = self.play.crash_delay_s
                 self.play.at(delay_s, lambda: self.play.crash_by_run(self, order.run))
             answer = self.worker.start(order)
-            self.play.at(LOCAL_S, lambda: answered(answer))
+            clock = WorkerClock(self.worker.clock_ms())
+            self.play.at(LOCAL_S, lambda: answered(answer, clock))
 
         if self.play.chance(self.play.faults.no_answer):
-            self.play.late(
-                lambda: (
-                    self.worker.up
-                    and self.worker.boots == worker_boot
-                    and self.worker.start(order)
-                )
-            )
+            self.play.late(lambda: self.worker.up and self.worker.start(order))
             self.play.at(0.06, lambda: answered(StartAnswer.NO_ANSWER))
         else:
-            self.play.at(LOCAL_S, arrive)
+            self.play.travel(arrive)
 
     def stop(self, order):
         """Order the end of a run from the worker."""
@@ -212,15 +218,14 @@
             )
 
         def arrive():
-            if self.worker.up:
-                self.worker.stop(order)
-            self.play.at(LOCAL_S, lambda: answered(self.worker.up))
+            reached = self.worker.up and self.worker.stop(order)
+            self.play.at(LOCAL_S, lambda: answered(reached))
 
         if self.play.chance(self.play.faults.no_answer):
             self.play.late(lambda: self.worker.up and self.worker.stop(order))
             self.play.at(0.11, lambda: answered(False))
         else:
-            self.play.at(LOCAL_S, arrive)
+            self.play.travel(arrive)
 
     def receive(self, sender, message):
         """Take a message."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -57,7 +57,7 @@
 
     def clock_ms(self):
         """Return the steady clock, which may be slow."""
-        return int((self.play.now - self.born) * 1000 * self.drift) + 1000
+        return int((self.play.now - self.born) * 1000 * self.drift)
 
     def report(self, draining=False):
         """Return a status report."""
@@ -109,10 +109,11 @@
             return StartAnswer.REJECTED
         self.play.witness_start(self, key, run.resources)
         work_s = self.play.work_of(run) / self.speed
+        boot = self.boots
         self.running[key] = RunningTask(self.play.now, work_s, run.resources)
         how = self.play.outcome(run)
         if not self.stands:
-            self.play.at(work_s, lambda: self.finish(key, how, self.boots))
+            self.play.at(work_s, lambda: self.finish(key, how, boot))
         return StartAnswer.STARTED
 
     def finish(self, key, how, boot):
@@ -122,20 +123,23 @@
             self.end(key, how)
 
     def stop(self, order):
-        """Stop a run, or refuse it from now on."""
+        """Stop a run, or refuse it from now on; return whether that was done."""
         if order.fencing_token < self.token:
-            return
+            return False
         self.token = order.fencing_token
         key = (order.task, order.attempt)
         self.refused[key[0]] = max(self.refused.get(key[0], 0), key[1])
         boot = self.boots
         if key in self.running:
             self.play.at(STOP_S, lambda: self.finish(key, RunEnd.STOPPED, boot))
+        return True
 
     def look(self, request):
-        """Renew the lease and return the lists."""
+        """Renew the lease and return the lists, None for a token that is too low."""
         self.lapse()
-        self.token = max(self.token, request.fencing_token)
+        if request.fencing_token < self.token:
+            return None
+        self.token = request.fencing_token
         self.extend(request.lease_until_ms)
         seen = request.last_end_number
         self.ended = [each for each in self.ended if each.number > seen]
--- a/tests/play.py
+++ b/tests/play.py
@@ -20,7 +20,7 @@
     RunEnd,
     Step,
 )
-from tests.fake_processes import FakeAgent, FakeEntry
+from tests.fake_processes import LOCAL_S, FakeAgent, FakeEntry
 from tests.fake_worker import SERVICE, FakeWorker
 
 # A command may be on its way to a worker while the agent learns of its capacity.
@@ -42,12 +42,15 @@
         Longest delay of an order that is carried out late.
     fail : float
         Share of the runs that fail.
+    travel_s : float
+        Longest time that a command is on its way to a worker, beside the usual.
     """
 
     lose: float = 0.0
     no_answer: float = 0.0
     late_s: float = 2.0
     fail: float = 0.0
+    travel_s: float = 0.0
 
 
 @dataclass
@@ -136,6 +139,12 @@
         """Return whether something of that share happens."""
         return share > 0 and self.rng.random() < share
 
+    def travel(self, action):
+        """Carry out a command when it arrives at its worker."""
+        travel_s = self.faults.travel_s
+        delay_s = self.rng.uniform(0.0, travel_s) if travel_s else 0.0
+        self.at(LOCAL_S + delay_s, action)
+
     def late(self, action):
         """Perhaps carry out an order late."""
         if self.chance(0.5):
--- /dev/null
+++ b/tests/test_boots.py
@@ -0,0 +1,66 @@
+"""Plays of workers that boot again under the same id at once."""
+
+import pytest
+
+from ragwortlug.codes import Code
+from tests.play import Faults, Play
+from tests.test_restartable import assert_sound
+
+FROM_S = 1.0
+UNTIL_S = 9.0
+REST_S = 9.0
+
+
+def play_with(seed, faults, disturb, pause_s):
+    """Return a play in which one of five workers after the other is disturbed.
+
+    Parameters
+    ----------
+    disturb : callable
+        Called with the play and an agent, about every `pause_s` seconds.
+    """
+    play = Play(seed=seed, faults=faults).build(3, 5, cpu=32_000)
+    play.run_until(0.5)
+
+    def arrive():
+        if play.now < UNTIL_S:
+            tasks, work_s = ((8, 0.12), (3, 0.9), (2, 0.4))[play.rng.randrange(3)]
+            play.hand_in(play.rng.randrange(3), tasks, work_s, deadline_s=6.0)
+            play.at(play.rng.expovariate(9.0), arrive)
+
+    def disturb_one():
+        if play.now < UNTIL_S:
+            disturb(play, play.rng.choice(play.agents))
+            play.at(play.rng.uniform(0.5, 1.5) * pause_s, disturb_one)
+
+    play.at(0.0, arrive)
+    play.at(FROM_S, disturb_one)
+    play.run_until(UNTIL_S + REST_S)
+    return play
+
+
+def served(play):
+    """Return the share of the callers whose job was done."""
+    done = sum(1 for each in play.callers.values() if each.code is Code.OK)
+    return done / len(play.callers)
+
+
+def boot_again(play, agent):
+    """Let a worker crash and boot again before its agent can notice."""
+    if agent.worker.up:
+        play.crash_worker(agent, 0.0)
+
+
+class TestBootsUnderTheSameId:
+    """Commands on their way may reach the next boot."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_a_task_never_has_two_runs(self, seed):
+        play = play_with(seed, Faults(travel_s=0.04), boot_again, 0.3)
+        assert_sound(play)
+        assert served(play) > 0.7
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_beside_lost_answers(self, seed):
+        faults = Faults(travel_s=0.04, no_answer=0.1, late_s=0.5)
+        assert_sound(play_with(seed, faults, boot_again, 0.3))
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -11,6 +11,8 @@
     ListedRun,
     RequestRenewals,
     StartAnswer,
+    StartOnWorker,
+    WorkerClock,
     WorkerReport,
     WorkerSnapshot,
 )
@@ -30,7 +32,7 @@
     """Return a runner whose worker is ready at second 10."""
     found = LeasedRunner(RestartSettings())
     found.on_report(REPORT, 10.0)
-    look(found, WorkerSnapshot(0, 1, (), ()), 10.0)
+    look(found, WorkerSnapshot(200, 1, (), ()), 10.0)
     return found
 
 
@@ -49,6 +51,35 @@
     return found
 
 
+def start(agent, now=10.0, run=RUN):
+    """Start a run of `SENDER`; return the command to the worker."""
+    requested_at_ms = int(now * 1000)
+    agent.on_renewed(SENDER, Renewed(requested_at_ms), now)
+    effects = agent.on_start_runs(SENDER, StartRuns(requested_at_ms, (run,)), now)
+    (command,) = [each for each in effects if isinstance(each, StartOnWorker)]
+    return command
+
+
+def answer_start(agent, now, clock_ms, number=1):
+    """Return the effects of an answer that a run has started."""
+    key = (SENDER.incarnation, number)
+    return agent.on_start_answered(key, StartAnswer.STARTED, now, WorkerClock(clock_ms))
+
+
+def reported_ends(effects):
+    """Return the ends in messages: number of the assignment and end."""
+    return [
+        (number, end)
+        for _, message in messages(effects, RunsEnded)
+        for number, end, _ in message.ends
+    ]
+
+
+def events(effects, name):
+    """Return the events of a name."""
+    return [each for each in effects if isinstance(each, Event) and each.name is name]
+
+
 class TestRefusals:
     def test_no_room_is_told_without_a_permission(self):
         stale_ms = 9100
@@ -114,7 +145,7 @@
             agent.on_renewed(peer, Renewed(10_000), 10.0)
         whole = Run(1, RUN.job_id, 0, 0, 1, "text", ROOM, 100.0)
         agent.on_start_runs(SENDER, StartRuns(10_000, (whole,)), 10.0)
-        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.STARTED, 10.0)
+        answer_start(agent, 10.0, 200)
         assert agent.on_wants(OTHER, Wants(RANK, RUN.resources), 10.0) == []
         ended = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
         snapshot = WorkerSnapshot(100, 1, (), (ended,))
@@ -139,7 +170,7 @@
         agent.on_renewed(SENDER, Renewed(10_000), 10.0)
         later = msgspec.structs.replace(RUN, number=2, job_id="00c0ffee00c0ffef")
         agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.0)
-        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.STARTED, 10.01)
+        answer_start(agent, 10.01, 210)
         agent.on_start_runs(SENDER, StartRuns(10_000, (later,)), 10.1)
         if draining:
             agent.on_report(
@@ -166,6 +197,82 @@
         assert EventName.WORKER_CRASHED not in names
 
 
+class TestNextBootWithTheSameId:
+    """A boot under the id of the former may carry out commands sent to that one."""
+
+    LATER = dataclasses.replace(REPORT, booted_at_ms=10_050, clock_ms=5)
+    SECOND = msgspec.structs.replace(RUN, number=2, job_id="00c0ffee00c0ffef")
+    RUNNING = (ListedRun((RUN.job_id, 0, 0), 1, 0.1),)
+
+    def test_a_run_that_it_has_goes_on(self):
+        agent = runner()
+        start(agent)
+        assert reported_ends(answer_start(agent, 10.06, 8)) == []
+        snapshot = WorkerSnapshot(9, 10_050, self.RUNNING, ())
+        effects = look(agent, snapshot, 10.061)
+        effects += agent.on_report(self.LATER, 10.07)
+        effects += look(agent, WorkerSnapshot(15, 10_050, self.RUNNING, ()), 10.08)
+        assert reported_ends(effects) == []
+        assert events(effects, EventName.RUN_FOREIGN) == []
+        assert events(effects, EventName.WORKER_CRASHED) == []
+        assert agent.running == 1
+        done = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
+        effects = look(agent, WorkerSnapshot(90, 10_050, (), (done,)), 10.2)
+        assert reported_ends(effects) == [(1, RunEnd.DONE)]
+
+    def test_a_start_without_an_answer_waits_for_its_first_snapshot(self):
+        agent = runner()
+        start(agent)
+        key = (SENDER.incarnation, 1)
+        agent.on_start_answered(key, StartAnswer.NO_ANSWER, 10.06)
+        effects = agent.on_report(self.LATER, 10.07)
+        assert reported_ends(effects) == []
+        effects = look(agent, WorkerSnapshot(15, 10_050, (), ()), 10.08)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+    def test_a_run_that_the_former_boot_acknowledged_is_in_the_crash_report(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        start(agent, 10.02, self.SECOND)
+        agent.on_snapshot_failed(REPORT.boot_id, False, 10.03)
+        effects = agent.on_report(self.LATER, 10.07)
+        effects += look(agent, WorkerSnapshot(15, 10_050, (), ()), 10.08)
+        (crashed,) = events(effects, EventName.WORKER_CRASHED)
+        rows = [(row["age_ms"], row["acknowledged"]) for row in crashed.fields["runs"]]
+        assert rows == [(30, True), (10, False)]
+        crashes = {message.crash for _, message in messages(effects, RunsEnded)}
+        ((first, second),) = [each.runs for each in crashes]
+        assert (first.acknowledged, second.acknowledged) == (True, False)
+        ends = reported_ends(effects)
+        assert ends == [(1, RunEnd.LOST), (2, RunEnd.LOST)]
+
+    def test_a_run_that_goes_on_is_not_in_the_crash_report(self):
+        agent = runner()
+        start(agent, run=self.SECOND)
+        answer_start(agent, 10.01, 210, number=2)
+        start(agent, 10.02)
+        effects = agent.on_report(self.LATER, 10.07)
+        effects += look(agent, WorkerSnapshot(15, 10_050, self.RUNNING, ()), 10.08)
+        (crashed,) = events(effects, EventName.WORKER_CRASHED)
+        assert [row["job"] for row in crashed.fields["runs"]] == [self.SECOND.job_id]
+        assert reported_ends(effects) == [(2, RunEnd.LOST)]
+        assert agent.running == 1
+
+    def test_acknowledged_runs_end_at_once(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        effects = agent.on_report(self.LATER, 10.07)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+    def test_commands_to_another_id_do_not_reach_it(self):
+        agent = runner()
+        start(agent)
+        effects = agent.on_report(dataclasses.replace(self.LATER, id="i-2"), 10.07)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+
 class TestReports:
     def test_a_changed_capacity_is_reported_to_dispatchers_at_once(self):
         agent = runner()
--- a/tests/test_restartable.py
+++ b/tests/test_restartable.py
@@ -303,11 +303,11 @@
     def test_room_kept_until_the_end_is_sure(self):
         original = LeasedRunner.on_start_answered
 
-        def forget(runner, key, answer, now):
+        def forget(runner, key, answer, now, clock=None):
             if answer.value == "no answer":
                 runner._runs.pop(key, None)
                 return []
-            return original(runner, key, answer, now)
+            return original(runner, key, answer, now, clock)
 
         with mock.patch.object(LeasedRunner, "on_start_answered", forget):
             assert self.broken()
