Treat a refused connection to a worker as silence

A task ran twice at the same time after a connection to its worker was refused for a moment: the agent ended all runs as crashed though the worker ran on, the dispatcher started them elsewhere, and the agent stopped the first ones as foreign a moment later. A listener that is replaced, or a network that rejects connections, refuses them while the process lives.

A refusal now ends the lease's renewal and nothing else. The runs go on if the worker answers before its lease has expired.

--- a/ragwortlug/errors.py
+++ b/ragwortlug/errors.py
@@ -84,6 +84,12 @@
         super().__init__(detail)
 
 
+class WorkerReplacedError(RagwortlugError):
+    """Another boot answered a call to a worker and did not execute it."""
+
+    code = Code.TARGET_UNREACHABLE
+
+
 class WorkerFencedError(RagwortlugError):
     """A worker rejected a call; it accepts only a higher fencing token.
 
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -55,6 +55,10 @@
     QUEUE_CONFINED = "queue_confined", "Jobs of a queue run on few workers only."
     QUEUE_RELEASED = "queue_released", "Jobs of a queue may run on all workers again."
     WORKER_SILENT = "worker_silent", "A worker does not answer its agent."
+    LEASE_EXPIRED = (
+        "lease_expired",
+        "A silent worker's lease expired, and with it runs.",
+    )
     WORKER_ANSWERS = "worker_answers", "A worker answers its agent again."
 
     DISPATCHER_SILENT = "dispatcher_silent", "A dispatcher does not answer an agent."
--- a/ragwortlug/jobs/ended_runs.py
+++ b/ragwortlug/jobs/ended_runs.py
@@ -16,7 +16,6 @@
     LISTED = "listed"
     NOT_LISTED = "not listed"
     NOT_STARTED = "not started"
-    REFUSED = "connection refused"
     LEASE_EXPIRED = "lease expired"
     DEPARTED = "departed"
     REPLACED = "replaced"
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -127,7 +127,8 @@
         effects = self._on_boot_replaced(report.id, now)
         self._worker = report
         self._has_snapshot = False
-        self._lease.begin_boot(report.booted_at_ms + report.clock_ms)
+        expires_at = self._lease.expires_at if self._runs else 0.0
+        self._lease.begin_boot(report.booted_at_ms + report.clock_ms, expires_at)
         self._last_end_number = 0
         self._unassigned_runs = set()
         fields = {
@@ -146,7 +147,13 @@
         effects = self._end_as_lost(tuple(self._runs), EndProof.DEPARTED, now)
         return self._end_boot(effects, EndProof.DEPARTED, runs)
 
-    def on_replaced(self, later_id, now):
+    def on_other_id_answered(self, boot, now):
+        """Handle the answer of a worker with another id to a call to a boot."""
+        if self._worker is None or boot != self._worker.boot_id:
+            return []
+        return self._on_replaced(None, now)
+
+    def _on_replaced(self, later_id, now):
         """Handle the end of the current boot of the worker without a notice.
 
         `later_id` is the id of the boot that answered instead, None for another one.
@@ -167,6 +174,9 @@
             return []
         former, _ = self._replaced_boot
         if may_reach(self._runs.values(), former, later_id):
+            # The later boot shortens a lease to its own maximum.
+            longest_s = self._settings.orphan_ms / MS_PER_S
+            self._lease.expires_at = max(self._lease.expires_at, now + longest_s)
             return []
         return self._end_as_crashed(tuple(self._runs), EndProof.REPLACED, now)
 
@@ -227,7 +237,7 @@
         if request.boot != self._worker.boot_id:
             return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
-            return self.on_replaced(self._worker.id, now)
+            return self._on_replaced(self._worker.id, now)
         self._lease.on_contact(now)
         by_run = {
             (local_run.task, local_run.run.attempt): key
@@ -285,7 +295,7 @@
         boot : tuple
             The boot that was asked; failures of an earlier boot are ignored.
         refused : bool
-            Whether its port refused the connection, so its process has ended.
+            Whether its port refused the connection.
         """
         if self._worker is None or boot != self._worker.boot_id:
             return []
@@ -298,11 +308,20 @@
                 Event(EventName.WORKER_SILENT, "", fields),
                 *self._request_renewals(),
             ]
-        if refused:
-            effects += self._end_as_crashed(tuple(self._runs), EndProof.REFUSED, now)
-        elif now > self._lease.expires_at:
-            effects += self._end_as_lost(tuple(self._runs), EndProof.LEASE_EXPIRED, now)
-        return effects
+        return effects + self._end_expired(now)
+
+    def _end_expired(self, now):
+        """End the runs of a silent worker once its lease must have expired."""
+        silent = self._worker is None or self._lease.silent_since is not None
+        if not self._runs or not silent or now < self._lease.expires_at:
+            return []
+        keys = tuple(self._runs)
+        crashed = self._lease.refused or self._replaced_boot is not None
+        fields = {"runs": len(keys), "refused": self._lease.refused}
+        fields["token"] = self._lease.fencing_token
+        expired = Event(EventName.LEASE_EXPIRED, "", fields)
+        end = self._end_as_crashed if crashed else self._end_as_lost
+        return [expired, *end(keys, EndProof.LEASE_EXPIRED, now)]
 
     def on_start_answered(self, key, answer, now, clock=None):
         """Handle the worker's answer to a command to start a run.
@@ -329,7 +348,7 @@
             return [unacknowledged, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
-            return self.on_replaced(None, now)
+            return self._on_replaced(None, now)
         effects = self._end_run(key, end, EndProof.NOT_STARTED, now)
         return self._offer_then_report(effects, now)
 
@@ -457,7 +476,7 @@
 
     def tick(self, now):
         """Stop runs with expiring permissions, request snapshots, offer resources."""
-        effects = []
+        effects = self._end_expired(now)
         for local_run in self._runs.values():
             incarnation = local_run.dispatcher.incarnation
             if (
--- a/ragwortlug/jobs/worker_lease.py
+++ b/ragwortlug/jobs/worker_lease.py
@@ -16,6 +16,9 @@
         Monotonic seconds at which every lease that was given must have expired.
     silent_since, failing_since : float or None
         Since when the worker is silent, and since when its calls fail.
+    refused : bool
+        Whether a connection was refused since calls fail. That does not prove that the
+        worker's process ended: a network may reject connections to one that runs.
     """
 
     def __init__(self):
@@ -23,6 +26,7 @@
         self.expires_at = 0.0
         self.silent_since = None
         self.failing_since = None
+        self.refused = False
         self._last_answer_at = 0.0
         self._clock_base = None
 
@@ -36,11 +40,16 @@
         """Return whether a lease may be given."""
         return self._clock_base is not None and self.silent_since is None
 
-    def begin_boot(self, fencing_token):
-        """Forget the former boot; commands to the new one have a higher token."""
+    def begin_boot(self, fencing_token, expires_at):
+        """Forget the former boot; commands to the new one have a higher token.
+
+        `expires_at` bounds the lease that the new boot may have been given already.
+        """
         self.raise_token(max(fencing_token, self.fencing_token + 1))
-        self.expires_at = 0.0
+        self.expires_at = expires_at
         self.silent_since = None
+        self.failing_since = None
+        self.refused = False
         self._clock_base = None
 
     def raise_token(self, minimum):
@@ -57,6 +66,7 @@
         """Record that the worker answered a call."""
         self._last_answer_at = now
         self.failing_since = None
+        self.refused = False
 
     def on_clock(self, clock_ms, now):
         """Record the clock in a current answer; return how long it was silent, or 0."""
@@ -69,6 +79,7 @@
         """Record a call without an answer; return whether the worker fell silent."""
         if self.failing_since is None:
             self.failing_since = now
+        self.refused |= refused
         silent = refused or now - self._last_answer_at > WORKER_ANSWER_TIMEOUT_S
         if not silent or self.silent_since is not None:
             return False
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -5,7 +5,11 @@
 
 from ragwortlug.actor import PeerActor, Tick, cancel_all
 from ragwortlug.envelope import Peer, Send
-from ragwortlug.errors import WorkerFencedError, WorkerSilentError
+from ragwortlug.errors import (
+    WorkerFencedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
 from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatchers import Dispatchers
 from ragwortlug.jobs.worker_calls import (
@@ -59,6 +63,13 @@
     refused: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """A boot with another id answered a call to the worker's boot `boot`."""
+
+    boot: tuple
+
+
 @dataclass(frozen=True, slots=True)
 class Fenced:
     """The worker has received a higher fencing token.
@@ -141,6 +152,7 @@
             LookFailed: lambda event, now: runner.on_snapshot_failed(
                 event.boot, event.refused, now
             ),
+            Replaced: lambda event, now: runner.on_other_id_answered(event.boot, now),
             Fenced: lambda event, now: runner.on_fenced(event.clock_ms),
             StartAnswered: self._on_start_answered,
             StopAnswered: lambda event, now: runner.on_stop_answered(
@@ -306,6 +318,10 @@
             )
             self.post(None, Fenced(error.clock_ms))
             return False
+        except WorkerReplacedError as error:
+            self._log.warning("Another boot of the worker answered: {}.", error)
+            self.post(None, Replaced(request.boot))
+            return False
         except WorkerSilentError as error:
             self._log.warning("The worker did not answer: {}.", error)
             self.post(None, LookFailed(request.boot, error.refused))
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -6,7 +6,12 @@
 import msgspec
 from aiohttp import web
 
-from ragwortlug.errors import RequestError, WorkerFencedError, WorkerSilentError
+from ragwortlug.errors import (
+    RequestError,
+    WorkerFencedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
 from ragwortlug.io.http import json_response
 from ragwortlug.jobs.worker_calls import StartAnswer
 from ragwortlug.leased_actor import WorkerDeparted
@@ -150,7 +155,9 @@
         Raises
         ------
         WorkerSilentError
-            There is no usable answer, or another boot answers.
+            There is no usable answer.
+        WorkerReplacedError
+            A boot with another id answers.
         WorkerFencedError
             The worker accepts only a higher fencing token.
         """
@@ -170,7 +177,9 @@
                 raise WorkerFencedError(reason, clock.clock_ms if clock else 0)
         except _NO_ANSWER_ERRORS as error:
             raise WorkerSilentError(repr(error), _is_refused(error)) from error
-        raise WorkerSilentError(f"status {status}", status == HTTP_OTHER_BOOT)
+        if status == HTTP_OTHER_BOOT:
+            raise WorkerReplacedError(f"{worker.id} is not the id of the worker")
+        raise WorkerSilentError(f"status {status}")
 
     async def _post(self, worker, path, body, wait_ms=0):
         """Make one call; return the status and the body of the response."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -41,6 +41,8 @@
         self.boots = 0
         self.up = True
         self.stands = False
+        # Connections are refused until then, though the worker runs on.
+        self.refuses_until = 0.0
         self.reset()
 
     def reset(self):
@@ -55,6 +57,11 @@
         self.lease_ms = 0
         self.waiting = []
 
+    @property
+    def reachable(self):
+        """Return whether a command reaches the worker."""
+        return self.up and self.play.now >= self.refuses_until
+
     def clock_ms(self):
         """Return the steady clock, which may be slow."""
         return int((self.play.now - self.born) * 1000 * self.drift)
