Let runs of a worker that departs go on until their end is proved

A task could run twice at the same time around a planned shutdown. The notice (DELETE) ended all runs at once, so that they were started elsewhere, although the worker may run on for a moment; and the delayed notice of a former boot ended the runs of the next one with that id.

A notice now only ends the lease's renewal and the acceptance of runs (event worker_departs). The runs end as listed, as lost when the worker is silent and its lease has expired, or with the next boot. The boot in a notice is read if it gives one, tolerantly; that of another boot is ignored.

--- a/ragwortlug/jobs/ended_runs.py
+++ b/ragwortlug/jobs/ended_runs.py
@@ -17,7 +17,6 @@
     NOT_LISTED = "not listed"
     NOT_STARTED = "not started"
     LEASE_EXPIRED = "lease expired"
-    DEPARTED = "departed"
     REPLACED = "replaced"
 
 
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -6,6 +6,8 @@
 Effects are calls to the worker, messages to dispatchers and events to log.
 """
 
+import dataclasses
+
 import msgspec
 
 from ragwortlug.envelope import Send
@@ -53,6 +55,7 @@
         self._worker = None
         self._lease = WorkerLease()
         self._has_snapshot = False
+        self._departed = False
         self._last_end_number = 0
         self._runs = {}
         self._unassigned_runs = set()
@@ -111,6 +114,9 @@
             if report.sequence <= previous.sequence:
                 return []
             self._worker = report
+            if self._departed:
+                self._departed = False
+                self._has_snapshot = False
             if (report.draining, report.capacity) != (
                 previous.draining,
                 previous.capacity,
@@ -127,6 +133,7 @@
         effects = self._on_boot_replaced(report.id, now)
         self._worker = report
         self._has_snapshot = False
+        self._departed = False
         expires_at = self._lease.expires_at if self._runs else 0.0
         self._lease.begin_boot(report.booted_at_ms + report.clock_ms, expires_at)
         self._last_end_number = 0
@@ -139,13 +146,24 @@
         }
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
-    def on_departed(self, worker_id, now):
-        """Handle a planned shutdown of the worker."""
-        if self._worker is None or self._worker.id != worker_id:
+    def on_departed(self, worker_id, booted_at_ms):
+        """Handle a planned shutdown of the worker, which may still run for a moment.
+
+        `booted_at_ms` identifies the boot, 0 if unknown. The worker gets no new runs
+        and no further lease. A later report of the same boot revokes that, since the
+        notice may come from a former boot.
+        """
+        if self._worker is None or self._worker.id != worker_id or self._departed:
             return []
-        runs = len(self._runs)
-        effects = self._end_as_lost(tuple(self._runs), EndProof.DEPARTED, now)
-        return self._end_boot(effects, EndProof.DEPARTED, runs)
+        if booted_at_ms not in (0, self._worker.booted_at_ms):
+            return []
+        self._departed = True
+        self._worker = dataclasses.replace(self._worker, draining=True)
+        self._permissions.withdraw()
+        fields = {"worker": worker_id, "runs": len(self._runs)}
+        fields["born_ms"] = self._worker.booted_at_ms
+        departs = Event(EventName.WORKER_DEPARTS, "", fields)
+        return [departs, *self._request_renewals()]
 
     def on_other_id_answered(self, boot, now):
         """Handle the answer of a worker with another id to a call to a boot."""
@@ -160,7 +178,14 @@
         """
         runs = len(self._runs)
         effects = self._on_boot_replaced(later_id, now)
-        return self._end_boot(effects, EndProof.REPLACED, runs)
+        fields = {"worker": self._worker.id, "runs": runs}
+        fields |= {"open_runs": len(self._runs)}
+        fields["born_ms"] = self._worker.booted_at_ms
+        effects.append(Event(EventName.WORKER_GONE, "", fields))
+        self._ended_boot_id = self._worker.boot_id
+        self._worker = None
+        self._has_snapshot = False
+        return effects + self._request_renewals()
 
     def _on_boot_replaced(self, later_id, now):
         """End the runs of a boot that a later one has replaced.
@@ -180,18 +205,6 @@
             return []
         return self._end_as_crashed(tuple(self._runs), EndProof.REPLACED, now)
 
-    def _end_boot(self, effects, proof, runs):
-        """Forget the current boot of the worker, which had `runs` runs."""
-        if self._worker is not None:
-            fields = {"worker": self._worker.id, "runs": runs, "why": proof.value}
-            fields |= {"open_runs": len(self._runs)}
-            fields["born_ms"] = self._worker.booted_at_ms
-            effects.append(Event(EventName.WORKER_GONE, "", fields))
-            self._ended_boot_id = self._worker.boot_id
-        self._worker = None
-        self._has_snapshot = False
-        return effects + self._request_renewals()
-
     def on_fenced(self, clock_ms):
         """Raise the fencing token after the worker has refused it as too low."""
         if self._worker is not None:
@@ -219,7 +232,7 @@
         the earliest permission of the dispatchers that have runs here or may assign
         some, so that no run outlives its permission even if this process is paused.
         """
-        if not self._lease.can_give:
+        if self._departed or not self._lease.can_give:
             return None
         active_dispatchers = {
             local_run.dispatcher.incarnation for local_run in self._runs.values()
@@ -462,7 +475,7 @@
 
     def state(self):
         """Return the worker state that is sent to dispatchers, or None."""
-        if self._worker is None:
+        if self._worker is None or (self._departed and not self._runs):
             return None
         report = self._worker
         return WorkerState(
@@ -495,6 +508,7 @@
         if (
             self._worker is not None
             and needs_snapshot
+            and (self._runs or not self._departed)
             and now >= self._next_snapshot_at
         ):
             self._next_snapshot_at = now + SNAPSHOT_RETRY_INTERVAL_S
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -34,9 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerDeparted:
-    """The worker announced that it shuts down."""
+    """The worker announced that it shuts down.
+
+    Attributes
+    ----------
+    booted_at_ms : int
+        Identifies the boot with the id; 0 if unknown.
+    """
 
     worker_id: str
+    booted_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +152,9 @@
             Tick: lambda _, now: self._on_tick(now),
             Leave: lambda _, now: runner.leave(),
             WorkerReport: runner.on_report,
-            WorkerDeparted: lambda event, now: runner.on_departed(event.worker_id, now),
+            WorkerDeparted: lambda event, _: runner.on_departed(
+                event.worker_id, event.booted_at_ms
+            ),
             Looked: lambda event, now: runner.on_snapshot(
                 event.snapshot, event.request, now
             ),
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -102,6 +102,12 @@
     born: int = 0
 
 
+class WireDeparture(msgspec.Struct):
+    """A worker's notice that it shuts down."""
+
+    born: int = 0
+
+
 class WireLists(msgspec.Struct):
     """A worker's lists of running and finished runs.
 
@@ -177,6 +183,7 @@
 _jobs = msgspec.json.Decoder(WireJob)
 _reports = msgspec.json.Decoder(WireReport)
 _lists = msgspec.json.Decoder(WireLists)
+_departures = msgspec.json.Decoder(WireDeparture)
 _clocks = msgspec.json.Decoder(WireClock)
 _configurations = msgspec.json.Decoder(WireConfiguration)
 _routes = msgspec.json.Decoder(WireRoute)
@@ -244,6 +251,17 @@
     )
 
 
+def departed_boot_of(raw):
+    """Return the boot time in a notice of shutdown, 0 if it gives none."""
+    if not raw:
+        return 0
+    try:
+        return _departures.decode(raw).born
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        log.warning("Failed to decode a worker's notice of shutdown: {}.", error)
+        return 0
+
+
 def clock_of(raw):
     """Return the `WorkerClock` in a response, None if invalid, and its reason."""
     try:
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -72,7 +72,8 @@
 
     async def _on_departure(self, request):
         """Receive the worker's notice that it is shutting down."""
-        self._post(WorkerDeparted(request.match_info["id"]))
+        booted_at_ms = wire.departed_boot_of(await request.read())
+        self._post(WorkerDeparted(request.match_info["id"], booted_at_ms))
         return json_response({})
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -304,6 +304,20 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._runner.cleanup()
 
+    async def depart(self, linger_s, down_s):
+        """Announce the end, run on for `linger_s`, stop, and boot after `down_s`."""
+        url = f"{self._agent_url}/api/instances/{self.id}"
+        for task in self._tasks:
+            task.cancel()
+        body = {"born": self.booted_at_ms}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.delete(url, json=body) as reply,
+        ):
+            await reply.read()
+        await asyncio.sleep(linger_s)
+        await self.crash(down_s)
+
     async def crash(self, down_s):
         """Stop without notifying the agent, and boot again after `down_s` seconds.
 
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -56,6 +56,29 @@
     agent.worker.refuses_until = play.now + play.rng.choice((0.02, 0.2, 0.8, 1.5))
 
 
+def depart(play, agent):
+    """Let a worker announce its end, run on for a moment, and boot again."""
+    worker = agent.worker
+    if not worker.up:
+        return
+    boot, born_ms = worker.boots, worker.report().booted_at_ms
+    agent.run(lambda _: agent.runner.on_departed(worker.name, born_ms))
+
+    def end():
+        if worker.up and worker.boots == boot:
+            play.crash_worker(agent, 0.3)
+
+    play.at(play.rng.uniform(0.0, 2.0), end)
+
+
+class TestDepartures:
+    """A worker that announced its end may run on for a moment."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_a_task_never_has_two_runs(self, seed):
+        assert_sound(play_with(seed, Faults(no_answer=0.02), depart, 0.5))
+
+
 class TestRefusedConnections:
     """A refused connection does not prove that the worker's process ended."""
 
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import msgspec
+import pytest
 
 from ragwortlug.envelope import Peer, Send
 from ragwortlug.events import Event, EventName
@@ -18,6 +19,7 @@
 )
 from ragwortlug.lease_messages import Offer, Renewed, RunsEnded, StartRuns, Wants
 from ragwortlug.lease_settings import RestartSettings
+from ragwortlug.platform import wire
 from ragwortlug.restartable_model import Rank, Resources, Run, RunEnd
 
 ROOM = Resources(64000, 1000, 0)
@@ -245,6 +247,72 @@
         assert EventName.WORKER_CRASHED not in names
 
 
+class TestDepartures:
+    """A worker that announced its shutdown may still run for a moment."""
+
+    RUNNING = (ListedRun((RUN.job_id, 0, 0), 1, 0.4),)
+
+    def departed(self, booted_at_ms=1):
+        """Return an agent with a run, and the effects of a notice at 10.1 s."""
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        return agent, agent.on_departed(REPORT.id, booted_at_ms)
+
+    def test_its_runs_go_on_without_a_further_lease_until_their_ends_are_listed(self):
+        agent, effects = self.departed()
+        assert reported_ends(effects) == []
+        assert not agent.accepting
+        assert RequestRenewals() in effects
+        assert agent.build_snapshot_request(10.1).lease_until_ms is None
+        effects = look(agent, WorkerSnapshot(400, 1, self.RUNNING, ()), 10.2)
+        effects += agent.tick(10.95)
+        assert reported_ends(effects) == []
+        done = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
+        effects = look(agent, WorkerSnapshot(800, 1, (), (done,)), 11.0)
+        assert reported_ends(effects) == [(1, RunEnd.DONE)]
+        assert agent.state() is None
+
+    def test_its_runs_are_lost_when_it_is_silent_and_the_lease_has_expired(self):
+        agent, _ = self.departed()
+        effects = agent.on_snapshot_failed(REPORT.boot_id, True, 10.3)
+        effects += agent.tick(10.85)
+        assert reported_ends(effects) == []
+        effects += agent.tick(10.9)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+        assert events(effects, EventName.WORKER_CRASHED) == []
+
+    def test_a_notice_of_another_boot_is_ignored(self):
+        agent, effects = self.departed(booted_at_ms=2)
+        assert effects == []
+        assert agent.accepting
+
+    def test_a_report_after_a_notice_without_a_boot_revokes_it(self):
+        agent, effects = self.departed(booted_at_ms=0)
+        assert not agent.accepting
+        agent.on_report(dataclasses.replace(REPORT, sequence=2), 10.2)
+        assert not agent.accepting
+        effects = look(agent, WorkerSnapshot(400, 1, self.RUNNING, ()), 10.2)
+        assert agent.accepting
+        assert agent.build_snapshot_request(10.2).lease_until_ms is not None
+        assert reported_ends(effects) == []
+
+    @pytest.mark.parametrize(
+        ("raw", "born"),
+        [
+            (b"", 0),
+            (b'{"born": 17}', 17),
+            (b"{}", 0),
+            (b'{"born": "x"}', 0),
+            (b"\xff", 0),
+            (b"[" * 200_000, 0),
+            (b'{"born": 1e400}', 0),
+        ],
+    )
+    def test_the_boot_in_a_notice(self, raw, born):
+        assert wire.departed_boot_of(raw) == born
+
+
 class TestNextBootWithTheSameId:
     """A boot under the id of the former may carry out commands sent to that one."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -371,6 +371,20 @@
 
         on_site(scenario)
 
+    def test_runs_of_a_worker_that_departs_are_not_repeated_while_they_live(
+        self, on_site
+    ):
+        async def scenario(site):
+            job = asyncio.create_task(site.submit(JOB, "1.5", 1, deadline_ms=20_000))
+            await site.until(lambda: len(site.started()) == 1)
+            (worker,) = (each for each in site.workers if each.starts)
+            departure = asyncio.create_task(worker.depart(linger_s=1.0, down_s=0.5))
+            assert await job == (200, {"state": "completed"})
+            await departure
+            assert not site.overlaps
+
+        on_site(scenario)
+
     def test_an_evacuated_data_centre_gets_nothing(self, on_site):
         async def scenario(site):
             await site.store.put("op/evacuate/patan", b"{}")
