Give a worker no lease after a silence before late commands are fenced

After a silence longer than the lease all runs end as lost. A start without an answer may be carried out seconds later, at a time at which the agent leases other runs on that worker again; the worker's lease covers everything that runs, so that the run lived beside another one of the same task, and the worker ran more than its capacity.

The token is raised when runs end by the lease. A refusal of a request with a former token no longer raises the token again.

The fake and the stand-in worker accept a late start now while their lease lasts, whatever the deadline in the command; workers may leave commands unanswered and carry them out up to 3 s later.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -205,11 +205,14 @@
             return []
         return self._end_as_crashed(tuple(self._runs), EndProof.REPLACED, now)
 
-    def on_fenced(self, clock_ms):
+    def on_fenced(self, request, clock_ms):
         """Raise the fencing token after the worker has refused it as too low."""
-        if self._worker is not None:
-            token = self._worker.booted_at_ms + clock_ms
-            self._lease.raise_token(max(token, self._lease.fencing_token + 1))
+        if self._worker is None or request.boot != self._worker.boot_id:
+            return []
+        if request.fencing_token < self._lease.fencing_token:
+            return []
+        token = self._worker.booted_at_ms + clock_ms
+        self._lease.raise_token(max(token, self._lease.fencing_token + 1))
         return [RequestSnapshot()]
 
     def build_snapshot_request(self, now):
@@ -251,7 +254,8 @@
             return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
             return self._on_replaced(self._worker.id, now)
-        self._lease.on_contact(now)
+        was_fenced = self._lease.is_fenced
+        self._lease.on_contact(request.fencing_token, now)
         by_run = {
             (local_run.task, local_run.run.attempt): key
             for key, local_run in self._runs.items()
@@ -259,14 +263,15 @@
         effects = self._record_ends(snapshot.ended, by_run, now)
         requested_at = request.requested_at
         if requested_at < self._latest_snapshot_requested_at:
+            if self._lease.is_fenced and not was_fenced:
+                effects += self._request_renewals()
             return self._offer_then_report(effects, now)
         self._latest_snapshot_requested_at = requested_at
         silent_s = self._lease.on_clock(snapshot.clock_ms, now)
         if silent_s:
             fields = {"silent_ms": round(silent_s * MS_PER_S)}
             effects.append(Event(EventName.WORKER_ANSWERS, "", fields))
-        is_first_snapshot = not self._has_snapshot
-        if is_first_snapshot:
+        if not self._has_snapshot:
             token = self._worker.booted_at_ms + snapshot.clock_ms
             self._lease.raise_token(token)
             self._has_snapshot = True
@@ -296,7 +301,9 @@
                 started = local_run.phase is Phase.RUNNING or local_run.stopped
                 end = RunEnd.LOST if started else RunEnd.NOT_STARTED
                 effects += self._end_run(key, end, EndProof.NOT_LISTED, now)
-        if is_first_snapshot:
+        if not self._lease.is_fenced:
+            effects.append(RequestSnapshot())
+        elif not was_fenced:
             effects += self._request_renewals()
         return self._offer_then_report(effects, now)
 
@@ -324,7 +331,11 @@
         return effects + self._end_expired(now)
 
     def _end_expired(self, now):
-        """End the runs of a silent worker once its lease must have expired."""
+        """End the runs of a silent worker once its lease must have expired.
+
+        A start without an answer may still be carried out later. The worker gets no
+        lease before it has seen a higher token, which prevents that.
+        """
         silent = self._worker is None or self._lease.silent_since is not None
         if not self._runs or not silent or now < self._lease.expires_at:
             return []
@@ -332,6 +343,7 @@
         crashed = self._lease.refused or self._replaced_boot is not None
         fields = {"runs": len(keys), "refused": self._lease.refused}
         fields["token"] = self._lease.fencing_token
+        self._lease.raise_token(self._lease.fencing_token + 1)
         expired = Event(EventName.LEASE_EXPIRED, "", fields)
         end = self._end_as_crashed if crashed else self._end_as_lost
         return [expired, *end(keys, EndProof.LEASE_EXPIRED, now)]
@@ -501,9 +513,7 @@
                 effects.append(self._mark_stopping(local_run))
         self._permissions.expire(now)
         needs_snapshot = (
-            not self._has_snapshot
-            or self._lease.silent_since is not None
-            or self._unassigned_runs
+            not self._has_snapshot or not self._lease.can_give or self._unassigned_runs
         )
         if (
             self._worker is not None
--- a/ragwortlug/jobs/worker_lease.py
+++ b/ragwortlug/jobs/worker_lease.py
@@ -27,6 +27,7 @@
         self.silent_since = None
         self.failing_since = None
         self.refused = False
+        self._answered_token = 0
         self._last_answer_at = 0.0
         self._clock_base = None
 
@@ -35,10 +36,22 @@
         """Return when the worker's clock was read last, and its ms, or None."""
         return self._clock_base
 
+    @property
+    def is_fenced(self):
+        """Return whether the worker refuses all commands with an earlier token."""
+        return self._answered_token >= self.fencing_token
+
     @property
     def can_give(self):
-        """Return whether a lease may be given."""
-        return self._clock_base is not None and self.silent_since is None
+        """Return whether a lease may be given.
+
+        It would also cover commands with an earlier token that are carried out late.
+        """
+        return (
+            self._clock_base is not None
+            and self.silent_since is None
+            and self.is_fenced
+        )
 
     def begin_boot(self, fencing_token, expires_at):
         """Forget the former boot; commands to the new one have a higher token.
@@ -62,8 +75,9 @@
         sampled_at, clock_ms = self._clock_base
         return clock_ms + int((expires_at - sampled_at) * MS_PER_S / CLOCK_DRIFT_FACTOR)
 
-    def on_contact(self, now):
-        """Record that the worker answered a call."""
+    def on_contact(self, fencing_token, now):
+        """Record that the worker answered a call with a token."""
+        self._answered_token = max(self._answered_token, fencing_token)
         self._last_answer_at = now
         self.failing_since = None
         self.refused = False
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fenced:
-    """The worker has received a higher fencing token.
+    """The worker has received a higher fencing token than that of a request.
 
     Attributes
     ----------
@@ -87,6 +87,7 @@
         The worker's steady clock.
     """
 
+    request: SnapshotRequest
     clock_ms: int
 
 
@@ -162,7 +163,7 @@
                 event.boot, event.refused, now
             ),
             Replaced: lambda event, now: runner.on_other_id_answered(event.boot, now),
-            Fenced: lambda event, now: runner.on_fenced(event.clock_ms),
+            Fenced: lambda event, now: runner.on_fenced(event.request, event.clock_ms),
             StartAnswered: self._on_start_answered,
             StopAnswered: lambda event, now: runner.on_stop_answered(
                 event.command.task, event.command.attempt, event.answered, now
@@ -325,7 +326,7 @@
             self._log.warning(
                 "The worker has received a higher fencing token: {}.", error
             )
-            self.post(None, Fenced(error.clock_ms))
+            self.post(None, Fenced(request, error.clock_ms))
             return False
         except WorkerReplacedError as error:
             self._log.warning("Another boot of the worker answered: {}.", error)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -422,9 +422,9 @@
             return self._ok()
         if self._refused_run_ids.get(key[0], 0) >= key[1]:
             return self._conflict("old")
-        if body["deadline_ms"] <= self._clock_ms():
-            return self._conflict("late")
         self._extend_lease(body["deadline_ms"])
+        if self._lease_expires_at_ms <= self._clock_ms():
+            return self._conflict("late")
         failing = body["spec"] == "fail"
         crashing = body["spec"] == "crash"
         work_s = SHORT_RUN_S if failing or crashing else float(body["spec"])
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -125,7 +125,7 @@
 
             def done(now):
                 if lists is None:
-                    return self.runner.on_fenced(clock_ms)
+                    return self.runner.on_fenced(request, clock_ms)
                 return self.runner.on_snapshot(lists, request, now)
 
             self.play.at(LOCAL_S, lambda: (self.run(done, boot), after()))
@@ -148,12 +148,18 @@
             else:
                 self.play.wait_for_end(self.worker, wait_s, lambda: answer(worker_boot))
 
-        if self.play.chance(self.play.faults.no_answer):
+        if self.unanswered():
             self.play.late(lambda: self.late_look(request))
             self.play.at(wait_s + 0.15, lambda: failed(False))
         else:
             self.play.travel(arrive)
 
+    def unanswered(self):
+        """Return whether a command to the worker gets no answer."""
+        if self.play.now < self.worker.mute_until:
+            return True
+        return self.play.chance(self.play.faults.no_answer)
+
     def late_look(self, request):
         """Carry out a look whose answer is lost, if need be by the next boot."""
         if self.worker.up:
@@ -209,7 +215,7 @@
             clock = WorkerClock(self.worker.clock_ms())
             self.play.at(LOCAL_S, lambda: answered(answer, clock))
 
-        if self.play.chance(self.play.faults.no_answer):
+        if self.unanswered():
             self.play.late(lambda: self.late_start(worker_boot, order))
             self.play.at(0.06, lambda: answered(StartAnswer.NO_ANSWER))
         else:
@@ -231,7 +237,7 @@
             reached = self.worker.reachable and self.worker.stop(order)
             self.play.at(LOCAL_S, lambda: answered(reached))
 
-        if self.play.chance(self.play.faults.no_answer):
+        if self.unanswered():
             self.play.late(lambda: self.worker.up and self.worker.stop(order))
             self.play.at(0.11, lambda: answered(False))
         else:
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -43,6 +43,8 @@
         self.stands = False
         # Connections are refused until then, though the worker runs on.
         self.refuses_until = 0.0
+        # Commands get no answer until then, and may be carried out late.
+        self.mute_until = 0.0
         self.reset()
 
     def reset(self):
@@ -112,7 +114,7 @@
             return StartAnswer.STARTED
         if self.refused.get(key[0], 0) >= key[1]:
             return StartAnswer.OUTDATED
-        if self.clock_ms() >= (order.lease_until_ms or 0):
+        if self.clock_ms() >= self.lease_ms:
             return StartAnswer.REJECTED
         self.play.witness_start(self, key, run.resources)
         work_s = self.play.work_of(run) / self.speed
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -79,6 +79,19 @@
         assert_sound(play_with(seed, Faults(no_answer=0.02), depart, 0.5))
 
 
+def mute(play, agent):
+    """Let a worker leave commands without an answer for a while."""
+    agent.worker.mute_until = play.now + play.rng.choice((0.1, 0.5, 1.0, 1.5))
+
+
+class TestSilence:
+    """Commands without an answer may be carried out seconds later."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_a_task_never_has_two_runs(self, seed):
+        assert_sound(play_with(seed, Faults(late_s=3.0), mute, 0.4))
+
+
 class TestRefusedConnections:
     """A refused connection does not prove that the worker's process ended."""
 
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -35,6 +35,7 @@
     found = LeasedRunner(RestartSettings())
     found.on_report(REPORT, 10.0)
     look(found, WorkerSnapshot(200, 1, (), ()), 10.0)
+    look(found, WorkerSnapshot(200, 1, (), ()), 10.0)
     return found
 
 
@@ -247,6 +248,38 @@
         assert EventName.WORKER_CRASHED not in names
 
 
+class TestFencing:
+    """Commands that are carried out late run under no lease that was given later."""
+
+    SNAPSHOT = WorkerSnapshot(2000, 1, (), ())
+
+    def test_after_a_silence_a_lease_waits_for_an_answer_under_a_higher_token(self):
+        agent = runner()
+        sent = start(agent)
+        key = (SENDER.incarnation, 1)
+        agent.on_start_answered(key, StartAnswer.NO_ANSWER, 10.06)
+        former = agent.build_snapshot_request(10.1)
+        agent.on_snapshot_failed(REPORT.boot_id, False, 10.5)
+        assert reported_ends(agent.tick(11.0)) == [(1, RunEnd.LOST)]
+        agent.on_snapshot(self.SNAPSHOT, former, 11.1)
+        assert not agent.accepting
+        request = agent.build_snapshot_request(11.2)
+        assert request.fencing_token > sent.fencing_token
+        assert request.lease_until_ms is None
+        agent.on_snapshot(self.SNAPSHOT, request, 11.2)
+        assert agent.accepting
+        assert agent.build_snapshot_request(11.3).lease_until_ms is not None
+
+    def test_a_refused_request_with_a_former_token_raises_it_no_further(self):
+        agent = runner()
+        request = agent.build_snapshot_request(10.1)
+        agent.on_fenced(request, 300)
+        raised = agent.build_snapshot_request(10.2).fencing_token
+        assert raised > request.fencing_token
+        assert agent.on_fenced(request, 300) == []
+        assert agent.build_snapshot_request(10.2).fencing_token == raised
+
+
 class TestDepartures:
     """A worker that announced its shutdown may still run for a moment."""
 
@@ -293,6 +326,7 @@
         agent.on_report(dataclasses.replace(REPORT, sequence=2), 10.2)
         assert not agent.accepting
         effects = look(agent, WorkerSnapshot(400, 1, self.RUNNING, ()), 10.2)
+        effects += look(agent, WorkerSnapshot(400, 1, self.RUNNING, ()), 10.2)
         assert agent.accepting
         assert agent.build_snapshot_request(10.2).lease_until_ms is not None
         assert reported_ends(effects) == []
