Give no lease while a worker lists runs of a former agent process

A new process of an agent asked for a lease up to the full length while its worker still ran what the former process had started. No permission covers these runs; they lived on if the stop was late or lost and the new process paused, beside the runs that replaced them.

No lease is given while such runs are listed.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -230,12 +230,13 @@
     def _give_lease(self, now):
         """Give the worker a lease; return its end in ms of its clock, or None.
 
-        A worker that has not answered a snapshot request gets no further lease.
-        A lease is never shortened, and it covers all runs. It therefore ends with
-        the earliest permission of the dispatchers that have runs here or may assign
-        some, so that no run outlives its permission even if this process is paused.
+        A worker that has not answered a snapshot request gets no further lease, nor
+        does one with runs of a former process, which no permission covers. A lease is
+        never shortened, and it covers all runs. It therefore ends with the earliest
+        permission of the dispatchers that have runs here or may assign some, so that
+        no run outlives its permission even if this process is paused.
         """
-        if self._departed or not self._lease.can_give:
+        if self._departed or self._unassigned_runs or not self._lease.can_give:
             return None
         active_dispatchers = {
             local_run.dispatcher.incarnation for local_run in self._runs.values()
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -11,6 +11,7 @@
 from ragwortlug.jobs.worker_calls import (
     ListedRun,
     RequestRenewals,
+    RequestSnapshot,
     StartAnswer,
     StartOnWorker,
     WorkerClock,
@@ -280,6 +281,36 @@
         assert agent.build_snapshot_request(10.2).fencing_token == raised
 
 
+class TestNewProcess:
+    """A new process of an agent finds what the former one started."""
+
+    FOREIGN = (ListedRun((RUN.job_id, 0, 0), 1, 0.4),)
+
+    def test_runs_of_the_former_process_get_no_lease(self):
+        agent = LeasedRunner(RestartSettings())
+        agent.on_report(REPORT, 10.0)
+        assert agent.build_snapshot_request(10.0).lease_until_ms is None
+        for now in (10.0, 10.1, 10.2):
+            look(agent, WorkerSnapshot(5000, 1, self.FOREIGN, ()), now)
+            assert agent.build_snapshot_request(now).lease_until_ms is None
+        ended = ListedRun((RUN.job_id, 0, 0), 1, 0.4, 1, RunEnd.STOPPED)
+        look(agent, WorkerSnapshot(5300, 1, (), (ended,)), 10.3)
+        assert agent.build_snapshot_request(10.3).lease_until_ms is not None
+
+    def test_starts_of_the_former_process_are_fenced_before_the_first_lease(self):
+        agent = LeasedRunner(RestartSettings())
+        agent.on_report(REPORT, 10.0)
+        first = agent.build_snapshot_request(10.0)
+        effects = agent.on_snapshot(WorkerSnapshot(5000, 1, (), ()), first, 10.0)
+        assert RequestSnapshot() in effects
+        assert not agent.accepting
+        second = agent.build_snapshot_request(10.0)
+        assert second.fencing_token == REPORT.booted_at_ms + 5000
+        assert second.lease_until_ms is None
+        agent.on_snapshot(WorkerSnapshot(5001, 1, (), ()), second, 10.0)
+        assert agent.accepting
+
+
 class TestDepartures:
     """A worker that announced its shutdown may still run for a moment."""
 
