Take only a rejection as proof that a worker did not start a run

Any status but 200, 409 and 421 to a start counted as a rejection, so that the run was reported as not started and assigned again. A refused connection remains a proof for a start: nothing was sent. It has to be an error of connecting, since the same error number on an open connection says nothing about what was sent. Clocks and boot times out of range are invalid.

The stand-in worker closes the connection of a delayed command instead of answering 503, which promised that nothing was done; a later boot with the same id may execute such commands.

--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -29,6 +29,7 @@
 from ragwortlug.telemetry.logs import logger
 
 Natural = Annotated[int, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 PERCENT = 100.0
@@ -97,9 +98,9 @@
 class WireClock(msgspec.Struct):
     """Fields of every worker response; `clock_ms` is its monotonic clock."""
 
-    clock_ms: int
+    clock_ms: Milliseconds
     reason: str = ""
-    born: int = 0
+    born: Milliseconds = 0
 
 
 class WireDeparture(msgspec.Struct):
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -24,6 +24,8 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_OTHER_BOOT = 421
+# A worker that answers a start with one of these has done nothing.
+HTTP_REJECTED = frozenset({400, HTTP_CONFLICT, 429, 503})
 
 log = logger("worker")
 _encoder = msgspec.json.Encoder()
@@ -122,6 +124,7 @@
             status, raw = await self._post(worker, "/api/run-start", body)
         except _NO_ANSWER_ERRORS as error:
             if _is_refused(error):
+                # The connection was never open, so the start was not sent.
                 return StartAnswer.REJECTED, None
             log.warning("No answer from the worker to a start: {!r}.", error)
             return StartAnswer.NO_ANSWER, None
@@ -131,8 +134,10 @@
         if status == HTTP_OK:
             return StartAnswer.STARTED, clock
         log.warning(
-            "The worker rejected a start: status {}, reason {!r}.", status, reason
+            "The worker did not start a run: status {}, reason {!r}.", status, reason
         )
+        if status not in HTTP_REJECTED:
+            return StartAnswer.NO_ANSWER, None
         outdated = status == HTTP_CONFLICT and reason == "old"
         return (StartAnswer.OUTDATED if outdated else StartAnswer.REJECTED), clock
 
@@ -200,6 +205,11 @@
 
 
 def _is_refused(error):
-    """Return whether the port of the worker refused the connection."""
-    cause = getattr(error, "os_error", error)
-    return getattr(cause, "errno", None) == errno.ECONNREFUSED
+    """Return whether the port of the worker refused the connection.
+
+    On an open connection the same error number does not mean that nothing was sent.
+    """
+    return (
+        isinstance(error, aiohttp.ClientConnectorError)
+        and error.os_error.errno == errno.ECONNREFUSED
+    )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -194,7 +194,9 @@
         late, which the agent treats as no answer.
     command_delay_s : callable or None
         Returns the delay in seconds before the next command is executed. A delayed
-        command is answered with status 503. 0 means no delay and a normal answer.
+        command gets no answer. 0 means no delay and a normal answer.
+    delays_outlive_boot : bool
+        Whether a later boot with the same id executes the delayed commands.
     next_run_fails : callable or None
         Returns whether the next run fails.
     stalled : bool
@@ -207,6 +209,7 @@
 
     dropped_start_replies: int = 0
     command_delay_s: Callable[[], float] | None = None
+    delays_outlive_boot: bool = False
     next_run_fails: Callable[[], bool] | None = None
     stalled: bool = False
     clock_rate: float = 1.0
@@ -378,33 +381,33 @@
                     pass
                 await asyncio.sleep(self._report_interval_s)
 
-    async def _delay_command(self, execute):
-        """Delay a command according to the faults.
+    async def _delay_command(self, request, execute):
+        """Delay a command according to the faults; close the connection of such a one.
 
-        Raises
-        ------
-        web.HTTPServiceUnavailable
-            If the command was delayed. The worker executes it after the delay, unless
-            it has booted again.
+        The worker executes it after the delay. Another boot does only if the faults
+        say so.
         """
         delay_s = self.faults.command_delay_s() if self.faults.command_delay_s else 0.0
-        if delay_s:
-            booted_at_ms = self.booted_at_ms
+        if not delay_s:
+            return
+        booted_at_ms = self.booted_at_ms
 
-            async def execute_later():
-                await asyncio.sleep(delay_s)
-                if self.booted_at_ms == booted_at_ms:
-                    execute()
+        def execute_later():
+            same_boot = self.booted_at_ms == booted_at_ms
+            if self.is_up and (same_boot or self.faults.delays_outlive_boot):
+                execute()
 
-            self._tasks.append(asyncio.create_task(execute_later()))
-            await asyncio.sleep(delay_s)
-            raise web.HTTPServiceUnavailable
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, execute_later)
+        await asyncio.sleep(delay_s)
+        request.transport.abort()
+        raise web.HTTPServiceUnavailable
 
     async def _start(self, request):
         """Serve a command to start a run."""
         self._check_instance(request)
         body = await request.json()
-        await self._delay_command(lambda: self._start_run(body))
+        await self._delay_command(request, lambda: self._start_run(body))
         answer = self._start_run(body)
         if self.faults.dropped_start_replies:
             self.faults.dropped_start_replies -= 1
@@ -449,7 +452,7 @@
         """Serve a command to stop a run."""
         self._check_instance(request)
         body = await request.json()
-        await self._delay_command(lambda: self._stop_run(body))
+        await self._delay_command(request, lambda: self._stop_run(body))
         return self._stop_run(body)
 
     def _stop_run(self, body):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -371,6 +371,24 @@
 
         on_site(scenario)
 
+    def test_a_start_that_a_later_boot_executes_is_not_repeated_while_it_lives(
+        self, on_site
+    ):
+        async def scenario(site):
+            delayed = []
+            for worker in site.workers:
+                worker.faults.delays_outlive_boot = True
+                worker.faults.command_delay_s = lambda: delayed.append(1) or 0.2
+            job = asyncio.create_task(site.submit(JOB, "1.0", 1, deadline_ms=20_000))
+            await site.until(lambda: delayed)
+            for worker in site.workers:
+                worker.faults.command_delay_s = None
+            await asyncio.gather(*(worker.crash(0.0) for worker in site.workers))
+            assert await job == (200, {"state": "completed"})
+            assert not site.overlaps
+
+        on_site(scenario)
+
     def test_runs_of_a_worker_that_departs_are_not_repeated_while_they_live(
         self, on_site
     ):
