--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -46,18 +46,24 @@
     RUN_STOPPED = "run_stopped", "An agent stopped a run."
     RUN_UNSURE = "run_unsure", "A worker did not answer a request to start a run."
     RUN_FOREIGN = "run_foreign", "A worker lists a run its agent did not start."
+    RUN_ADOPTED = "run_adopted", "A later boot of a worker has a run of the former."
 
     WORKER_JOINED = "worker_joined", "The first message from an agent arrived."
     WORKER_CHANGED = "worker_changed", "A worker began or ceased to accept runs."
     WORKER_LOST = "worker_lost", "An agent timed out; its runs must have ended."
     WORKER_RESTS = "worker_rests", "A worker is ejected after consecutive failures."
     WORKER_BOOT = "worker_boot", "An agent detected a new boot of its worker."
-    WORKER_GONE = "worker_gone", "A boot of a worker ended, and so did its runs."
+    WORKER_DEPARTS = "worker_departs", "A worker announced that it shuts down now."
+    WORKER_GONE = "worker_gone", "Another boot replaced that of a worker."
     WORKER_CRASHED = "worker_crashed", "A worker ended without notice, with its runs."
     CRASH_REPORTED = "crash_reported", "An agent reported a crash of its worker."
     QUEUE_CONFINED = "queue_confined", "Jobs of a queue run on few workers only."
     QUEUE_RELEASED = "queue_released", "Jobs of a queue may run on all workers again."
     WORKER_SILENT = "worker_silent", "A worker does not answer its agent."
+    LEASE_EXPIRED = (
+        "lease_expired",
+        "A silent worker's lease expired, and with it runs.",
+    )
     WORKER_ANSWERS = "worker_answers", "A worker answers its agent again."
 
     DISPATCHER_SILENT = "dispatcher_silent", "A dispatcher does not answer an agent."
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -6,36 +6,39 @@
 Effects are calls to the worker, messages to dispatchers and events to log.
 """
 
+import dataclasses
+
 import msgspec
 
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs.crash_log import CrashLog
+from ragwortlug.jobs.ended_runs import EndedRuns, EndProof
 from ragwortlug.jobs.local_runs import (
     LocalRun,
     Phase,
+    StartCommand,
     event_of,
     late_runs,
+    may_reach,
     worker_crashed,
 )
 from ragwortlug.jobs.permissions import Permissions
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
     RequestSnapshot,
+    SnapshotRequest,
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
 )
+from ragwortlug.jobs.worker_lease import WorkerLease
 from ragwortlug.lease_messages import Progress, Renewal, RunsEnded
 from ragwortlug.restartable_model import Resources, RunEnd, WorkerState
 
 MS_PER_S = 1000.0
-CLOCK_DRIFT_FACTOR = 1.03
-WORKER_ANSWER_TIMEOUT_S = 0.35
-MAX_KEPT_ENDS = 5000
 SNAPSHOT_RETRY_INTERVAL_S = 0.2
-NEVER_STARTED = (RunEnd.NOT_STARTED, 0.0)
 
 
 class LeasedRunner:
@@ -50,9 +53,9 @@
     def __init__(self, settings):
         self._settings = settings
         self._worker = None
-        self._fencing_token = 0
+        self._lease = WorkerLease()
         self._has_snapshot = False
-        self._clock_base = None
+        self._departed = False
         self._last_end_number = 0
         self._runs = {}
         self._unassigned_runs = set()
@@ -60,15 +63,14 @@
         # Dispatchers whose latest report left out resources that were on offer, as
         # keys, so that their order does not depend on hashes.
         self._uninformed = {}
-        self._lease_expires_at = 0.0
-        self._silent_since = None
-        self._failing_since = None
         self._crash_log = CrashLog()
         self._latest_snapshot_requested_at = 0.0
-        self._last_answer_at = 0.0
-        self._recent_ends = {}
+        self._ended_runs = EndedRuns()
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
+        # The latest report of a boot that was replaced, and when it was first missed,
+        # while it is open which of its runs the later boot has.
+        self._replaced_boot = None
         self.leaving = False
 
     @property
@@ -76,16 +78,6 @@
         """Return the worker's latest report, or None."""
         return self._worker
 
-    @property
-    def fencing_token(self):
-        """Return the fencing token of this agent's commands, or 0 before a report."""
-        return self._fencing_token
-
-    @property
-    def last_end_number(self):
-        """Return the number of the latest end that was read from the worker."""
-        return self._last_end_number
-
     @property
     def running(self):
         """Return the number of runs that the worker has or may have."""
@@ -99,7 +91,7 @@
             and self._has_snapshot
             and not self._worker.draining
             and not self.leaving
-            and self._silent_since is None
+            and self._lease.can_give
             and not self._unassigned_runs
         )
 
@@ -122,6 +114,9 @@
             if report.sequence <= previous.sequence:
                 return []
             self._worker = report
+            if self._departed:
+                self._departed = False
+                self._has_snapshot = False
             if (report.draining, report.capacity) != (
                 previous.draining,
                 previous.capacity,
@@ -135,61 +130,113 @@
         older = previous is not None and report.booted_at_ms < previous.booted_at_ms
         if older or report.boot_id == self._ended_boot_id:
             return []
-        effects = self._end_all_as_crashed(now)
+        effects = self._on_boot_replaced(report.id, now)
         self._worker = report
         self._has_snapshot = False
-        self._fencing_token = report.booted_at_ms + report.clock_ms
+        self._departed = False
+        expires_at = self._lease.expires_at if self._runs else 0.0
+        self._lease.begin_boot(report.booted_at_ms + report.clock_ms, expires_at)
         self._last_end_number = 0
         self._unassigned_runs = set()
-        self._silent_since = None
-        self._clock_base = None
-        self._lease_expires_at = 0.0
         fields = {
             "worker": report.id,
             "born_ms": report.booted_at_ms,
-            "token": self._fencing_token,
+            "token": self._lease.fencing_token,
+            "open_runs": len(self._runs),
         }
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
-    def on_departed(self, worker_id):
-        """Handle a planned shutdown of the worker."""
-        if self._worker is None or self._worker.id != worker_id:
+    def on_departed(self, worker_id, booted_at_ms):
+        """Handle a planned shutdown of the worker, which may still run for a moment.
+
+        `booted_at_ms` identifies the boot, 0 if unknown. The worker gets no new runs
+        and no further lease. A later report of the same boot revokes that, since the
+        notice may come from a former boot.
+        """
+        if self._worker is None or self._worker.id != worker_id or self._departed:
             return []
-        runs = len(self._runs)
-        return self._end_boot(self._end_all_as_lost(), runs)
+        if booted_at_ms not in (0, self._worker.booted_at_ms):
+            return []
+        self._departed = True
+        self._worker = dataclasses.replace(self._worker, draining=True)
+        self._permissions.withdraw()
+        fields = {"worker": worker_id, "runs": len(self._runs)}
+        fields["born_ms"] = self._worker.booted_at_ms
+        departs = Event(EventName.WORKER_DEPARTS, "", fields)
+        return [departs, *self._request_renewals()]
 
-    def on_replaced(self, now):
-        """Handle the end of the current boot of the worker without a notice."""
+    def on_other_id_answered(self, boot, now):
+        """Handle the answer of a worker with another id to a call to a boot."""
+        if self._worker is None or boot != self._worker.boot_id:
+            return []
+        return self._on_replaced(None, now)
+
+    def _on_replaced(self, later_id, now):
+        """Handle the end of the current boot of the worker without a notice.
+
+        `later_id` is the id of the boot that answered instead, None for another one.
+        """
         runs = len(self._runs)
-        return self._end_boot(self._end_all_as_crashed(now), runs)
-
-    def _end_boot(self, effects, runs):
-        """Forget the current boot of the worker, whose `runs` have ended."""
-        if self._worker is not None:
-            fields = {"worker": self._worker.id, "runs": runs}
-            effects.append(Event(EventName.WORKER_GONE, "", fields))
-            self._ended_boot_id = self._worker.boot_id
+        effects = self._on_boot_replaced(later_id, now)
+        fields = {"worker": self._worker.id, "runs": runs}
+        fields |= {"open_runs": len(self._runs)}
+        fields["born_ms"] = self._worker.booted_at_ms
+        effects.append(Event(EventName.WORKER_GONE, "", fields))
+        self._ended_boot_id = self._worker.boot_id
         self._worker = None
         self._has_snapshot = False
         return effects + self._request_renewals()
 
-    def on_fenced(self, clock_ms):
+    def _on_boot_replaced(self, later_id, now):
+        """End the runs of a boot that a later one has replaced.
+
+        If the later boot may have one of them, all wait for its first snapshot, so
+        that the crash is reported once, without the runs that go on.
+        """
+        if self._worker is not None and self._replaced_boot is None:
+            self._replaced_boot = (self._worker, self._failing_since(now))
+        if self._replaced_boot is None:
+            return []
+        former, _ = self._replaced_boot
+        if may_reach(self._runs.values(), former, later_id):
+            # The later boot shortens a lease to its own maximum.
+            longest_s = self._settings.orphan_ms / MS_PER_S
+            self._lease.expires_at = max(self._lease.expires_at, now + longest_s)
+            return []
+        return self._end_as_crashed(tuple(self._runs), EndProof.REPLACED, now)
+
+    def on_fenced(self, request, clock_ms):
         """Raise the fencing token after the worker has refused it as too low."""
-        if self._worker is not None:
-            self._fencing_token = max(
-                self._fencing_token + 1, self._worker.booted_at_ms + clock_ms
-            )
+        if self._worker is None or request.boot != self._worker.boot_id:
+            return []
+        if request.fencing_token < self._lease.fencing_token:
+            return []
+        token = self._worker.booted_at_ms + clock_ms
+        self._lease.raise_token(max(token, self._lease.fencing_token + 1))
         return [RequestSnapshot()]
 
-    def lease_until_ms(self, now):
-        """Return when the worker's lease must end, in its clock's ms, or None.
+    def build_snapshot_request(self, now):
+        """Return the `SnapshotRequest` to make now, or None without a worker."""
+        if self._worker is None:
+            return None
+        return SnapshotRequest(
+            self._worker.boot_id,
+            now,
+            self._lease.fencing_token,
+            self._last_end_number,
+            self._give_lease(now),
+        )
 
-        A worker that has not answered a snapshot request gets no further lease.
-        A lease is never shortened, and it covers all runs. It therefore ends with
-        the earliest permission of the dispatchers that have runs here or may assign
-        some, so that no run outlives its permission even if this process is paused.
+    def _give_lease(self, now):
+        """Give the worker a lease; return its end in ms of its clock, or None.
+
+        A worker that has not answered a snapshot request gets no further lease, nor
+        does one with runs of a former process, which no permission covers. A lease is
+        never shortened, and it covers all runs. It therefore ends with the earliest
+        permission of the dispatchers that have runs here or may assign some, so that
+        no run outlives its permission even if this process is paused.
         """
-        if self._clock_base is None or self._silent_since is not None:
+        if self._departed or self._unassigned_runs or not self._lease.can_give:
             return None
         active_dispatchers = {
             local_run.dispatcher.incarnation for local_run in self._runs.values()
@@ -198,57 +245,66 @@
         expires_at = max(
             now, self._permissions.earliest_expiry(active_dispatchers, limit, now)
         )
-        self._lease_expires_at = max(self._lease_expires_at, expires_at)
-        sampled_at, clock_ms = self._clock_base
-        return clock_ms + int((expires_at - sampled_at) * MS_PER_S / CLOCK_DRIFT_FACTOR)
+        return self._lease.give(expires_at)
 
-    def on_snapshot(self, snapshot, asked_at, now):
-        """Handle a worker's snapshot, requested at `asked_at` (monotonic seconds)."""
+    def on_snapshot(self, snapshot, request, now):
+        """Handle a worker's snapshot, the answer to a `SnapshotRequest`."""
         if self._worker is None:
             return []
+        if request.boot != self._worker.boot_id:
+            return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
-            return self.on_replaced(now)
-        self._last_answer_at = now
-        self._failing_since = None
+            return self._on_replaced(self._worker.id, now)
+        was_fenced = self._lease.is_fenced
+        self._lease.on_contact(request.fencing_token, now)
         by_run = {
             (local_run.task, local_run.run.attempt): key
             for key, local_run in self._runs.items()
         }
         effects = self._record_ends(snapshot.ended, by_run, now)
-        if asked_at < self._latest_snapshot_requested_at:
+        requested_at = request.requested_at
+        if requested_at < self._latest_snapshot_requested_at:
+            if self._lease.is_fenced and not was_fenced:
+                effects += self._request_renewals()
             return self._offer_then_report(effects, now)
-        self._latest_snapshot_requested_at = asked_at
-        self._clock_base = (now, snapshot.clock_ms)
-        if self._silent_since is not None:
-            fields = {"silent_ms": round((now - self._silent_since) * MS_PER_S)}
+        self._latest_snapshot_requested_at = requested_at
+        silent_s = self._lease.on_clock(snapshot.clock_ms, now)
+        if silent_s:
+            fields = {"silent_ms": round(silent_s * MS_PER_S)}
             effects.append(Event(EventName.WORKER_ANSWERS, "", fields))
-        self._silent_since = None
-        is_first_snapshot = not self._has_snapshot
-        if is_first_snapshot:
-            self._fencing_token = max(
-                self._fencing_token, self._worker.booted_at_ms + snapshot.clock_ms
-            )
+        if not self._has_snapshot:
+            token = self._worker.booted_at_ms + snapshot.clock_ms
+            self._lease.raise_token(token)
             self._has_snapshot = True
         effects += self._record_running(snapshot.running, by_run, now)
         listed = {(row.task, row.attempt) for row in snapshot.running}
+        if self._replaced_boot is not None:
+            former_runs = [
+                key
+                for key, local_run in self._runs.items()
+                if (local_run.task, local_run.run.attempt) not in listed
+            ]
+            effects += self._end_as_crashed(former_runs, EndProof.REPLACED, now)
         for key, local_run in tuple(self._runs.items()):
             acknowledged = (
                 local_run.acknowledged_at is not None
-                and asked_at >= local_run.acknowledged_at
+                and requested_at >= local_run.acknowledged_at
             )
             if (local_run.task, local_run.run.attempt) in listed:
                 continue
             if (
                 local_run.unacknowledged_since is not None
-                and asked_at > local_run.unacknowledged_since
+                and requested_at > local_run.unacknowledged_since
             ):
                 effects.append(self._mark_stopping(local_run))
                 local_run.unacknowledged_since = now
             if acknowledged:
                 started = local_run.phase is Phase.RUNNING or local_run.stopped
                 end = RunEnd.LOST if started else RunEnd.NOT_STARTED
-                effects += self._end_run(key, end, now)
-        if is_first_snapshot:
+                effects += self._end_run(key, end, EndProof.NOT_LISTED, now)
+        if not self._lease.is_fenced:
+            effects.append(RequestSnapshot())
+        elif not was_fenced:
             effects += self._request_renewals()
         return self._offer_then_report(effects, now)
 
@@ -260,38 +316,57 @@
         boot : tuple
             The boot that was asked; failures of an earlier boot are ignored.
         refused : bool
-            Whether its port refused the connection, so its process has ended.
+            Whether its port refused the connection.
         """
         if self._worker is None or boot != self._worker.boot_id:
             return []
         effects = []
-        if self._failing_since is None:
-            self._failing_since = now
-        silent = refused or now - self._last_answer_at > WORKER_ANSWER_TIMEOUT_S
-        if silent and self._silent_since is None:
-            self._silent_since = now
+        if self._lease.on_failure(refused, now):
             fields = {"refused": refused, "runs": len(self._runs)}
+            fields["born_ms"] = self._worker.booted_at_ms
+            fields["lease_left_ms"] = round((self._lease.expires_at - now) * MS_PER_S)
             effects = [
                 Event(EventName.WORKER_SILENT, "", fields),
                 *self._request_renewals(),
             ]
-        if refused:
-            effects += self._end_all_as_crashed(now)
-        elif now > self._lease_expires_at:
-            effects += self._end_all_as_lost()
-        return effects
+        return effects + self._end_expired(now)
+
+    def _end_expired(self, now):
+        """End the runs of a silent worker once its lease must have expired.
 
-    def on_start_answered(self, key, answer, now):
-        """Handle the worker's answer to a command to start a run."""
+        A start without an answer may still be carried out later. The worker gets no
+        lease before it has seen a higher token, which prevents that.
+        """
+        silent = self._worker is None or self._lease.silent_since is not None
+        if not self._runs or not silent or now < self._lease.expires_at:
+            return []
+        keys = tuple(self._runs)
+        crashed = self._lease.refused or self._replaced_boot is not None
+        fields = {"runs": len(keys), "refused": self._lease.refused}
+        fields["token"] = self._lease.fencing_token
+        self._lease.raise_token(self._lease.fencing_token + 1)
+        expired = Event(EventName.LEASE_EXPIRED, "", fields)
+        end = self._end_as_crashed if crashed else self._end_as_lost
+        return [expired, *end(keys, EndProof.LEASE_EXPIRED, now)]
+
+    def on_start_answered(self, key, answer, now, clock=None):
+        """Handle the worker's answer to a command to start a run.
+
+        `clock` is the `WorkerClock` of the answer, if there is one. An answer of a
+        later boot with the same id counts as none: its next snapshot decides.
+        """
         local_run = self._runs.get(key)
         if local_run is None:
             return []
-        if answer is StartAnswer.STARTED:
+        started = answer is StartAnswer.STARTED
+        command = local_run.command
+        if started and command.was_answered_by_its_boot(clock, now):
             if local_run.phase is not Phase.STOPPING:
                 local_run.phase = Phase.RUNNING
+            local_run.started_on = command.boot
             local_run.acknowledged_at = now
             return []
-        if answer is StartAnswer.NO_ANSWER:
+        if started or answer is StartAnswer.NO_ANSWER:
             if local_run.phase is Phase.STARTING:
                 local_run.phase = Phase.UNACKNOWLEDGED
                 local_run.unacknowledged_since = now
@@ -299,8 +374,9 @@
             return [unacknowledged, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
-            return self.on_replaced(now)
-        return self._offer_then_report(self._end_run(key, end, now), now)
+            return self._on_replaced(None, now)
+        effects = self._end_run(key, end, EndProof.NOT_STARTED, now)
+        return self._offer_then_report(effects, now)
 
     def on_stop_answered(self, task, attempt, answered, now):
         """Handle the worker's answer to a command to stop a run.
@@ -311,7 +387,7 @@
         for local_run in self._runs.values():
             if local_run.task == task and local_run.run.attempt == attempt:
                 if not answered:
-                    return [self._stop_command(local_run)]
+                    return [self._stop_command(task, attempt)]
                 local_run.acknowledged_at = now
                 local_run.unacknowledged_since = None
                 return [RequestSnapshot()]
@@ -334,7 +410,7 @@
         refused = []
         requested_at_ms = message.requested_at_ms
         permitted = self._permissions.allows(
-            sender, requested_at_ms, self._lease_expires_at, now
+            sender, requested_at_ms, self._lease.expires_at, now
         )
         for run in message.runs:
             key = (sender.incarnation, run.number)
@@ -354,13 +430,11 @@
                 self.free_resources.can_fit(run.resources),
                 free_resources=self.free_resources,
             )
-            self._runs[key] = LocalRun(run, sender, now, now)
-            lease = self.lease_until_ms(now)
-            effects.append(
-                StartOnWorker(
-                    self._worker.boot_id, key, run, lease, self._fencing_token
-                )
-            )
+            boot, token = self._worker.boot_id, self._lease.fencing_token
+            command = StartCommand(boot, token, self._lease.clock_base)
+            self._runs[key] = LocalRun(run, sender, now, now, command)
+            lease = self._give_lease(now)
+            effects.append(StartOnWorker(boot, key, run, lease, token))
         if refused:
             # Without a permission, free resources can't be used before the next
             # renewal. If they were reported, the dispatcher would assign the same
@@ -384,7 +458,7 @@
             key = (sender.incarnation, number)
             local_run = self._runs.get(key)
             if local_run is None:
-                ends.append((number, *self._recent_ends.setdefault(key, NEVER_STARTED)))
+                ends.append((number, *self._ended_runs.end_or_refuse(key)))
             elif not local_run.stopped:
                 effects.append(
                     event_of(EventName.RUN_STOPPED, local_run, why="ordered")
@@ -414,7 +488,7 @@
 
     def state(self):
         """Return the worker state that is sent to dispatchers, or None."""
-        if self._worker is None:
+        if self._worker is None or (self._departed and not self._runs):
             return None
         report = self._worker
         return WorkerState(
@@ -428,7 +502,7 @@
 
     def tick(self, now):
         """Stop runs with expiring permissions, request snapshots, offer resources."""
-        effects = []
+        effects = self._end_expired(now)
         for local_run in self._runs.values():
             incarnation = local_run.dispatcher.incarnation
             if (
@@ -440,13 +514,12 @@
                 effects.append(self._mark_stopping(local_run))
         self._permissions.expire(now)
         needs_snapshot = (
-            not self._has_snapshot
-            or self._silent_since is not None
-            or self._unassigned_runs
+            not self._has_snapshot or not self._lease.can_give or self._unassigned_runs
         )
         if (
             self._worker is not None
             and needs_snapshot
+            and (self._runs or not self._departed)
             and now >= self._next_snapshot_at
         ):
             self._next_snapshot_at = now + SNAPSHOT_RETRY_INTERVAL_S
@@ -467,9 +540,9 @@
 
     def _refusal_end(self, sender, key, run, permitted):
         """Return the end to report for a run that must not start, or None."""
-        if not permitted or not self.accepting or self._clock_base is None:
+        if not permitted or not self.accepting:
             return RunEnd.NO_RESOURCES
-        if key in self._recent_ends:
+        if key in self._ended_runs:
             return RunEnd.NOT_STARTED
         task = (run.job_id, run.step, run.index)
         if any(local_run.task == task for local_run in self._runs.values()):
@@ -496,9 +569,10 @@
         reports = []
         for effect in effects:
             if isinstance(effect, Send) and isinstance(effect.body, RunsEnded):
-                effect = Send(
-                    effect.receiver, RunsEnded(effect.body.ends, self._unreserved())
+                body = msgspec.structs.replace(
+                    effect.body, free_resources=self._unreserved()
                 )
+                effect = Send(effect.receiver, body)
                 if self._permissions.offering:
                     self._uninformed[effect.receiver] = None
             reports.append(effect)
@@ -525,7 +599,7 @@
             self._last_end_number = row.number
             key = by_run.get((row.task, row.attempt))
             if key is not None and key in self._runs:
-                effects += self._end_run(key, row.end, now)
+                effects += self._end_run(key, row.end, EndProof.LISTED, now)
         return _merge_ends(effects)
 
     def _record_running(self, rows, by_run, now):
@@ -542,10 +616,15 @@
                 fields = {
                     "task": f"{row.task[1]}.{row.task[2]}",
                     "attempt": row.attempt,
+                    "token": self._lease.fencing_token,
                 }
+                fields |= self._ended_runs.describe(row.task, row.attempt, now)
                 effects.append(Event(EventName.RUN_FOREIGN, row.task[0], fields))
-                effects.append(StopOnWorker(row.task, row.attempt, self._fencing_token))
+                effects.append(self._stop_command(row.task, row.attempt))
                 continue
+            if self._replaced_boot is not None:
+                effects += self._adopt(local_run)
+            local_run.started_on = self._worker.boot_id
             if local_run.phase in (Phase.STARTING, Phase.UNACKNOWLEDGED):
                 local_run.phase = (
                     Phase.RUNNING if not local_run.stopped else Phase.STOPPING
@@ -559,41 +638,56 @@
         reports = [Send(receiver, Progress(runs)) for receiver, runs in rows.items()]
         return effects + reports
 
-    def _end_run(self, key, end, now):
+    def _end_run(self, key, end, proof, now):
         """Remove a run that has ended and return the message that reports it."""
         local_run = self._runs.pop(key)
-        run_ms = 0.0 if now is None else (now - local_run.started_at) * MS_PER_S
+        run_ms = (now - local_run.started_at) * MS_PER_S
         if end is RunEnd.STOPPED and not local_run.stopped:
             end = RunEnd.LOST
-        self._recent_ends[key] = (end, run_ms)
-        while len(self._recent_ends) > MAX_KEPT_ENDS:
-            del self._recent_ends[next(iter(self._recent_ends))]
+        self._ended_runs.add(key, local_run, end, run_ms, proof, now)
         message = RunsEnded(((key[1], end, run_ms),), self._unreserved())
         return [Send(local_run.dispatcher, message)]
 
-    def _end_all_as_crashed(self, now):
-        """End all runs as lost after their worker has ended without notice.
+    def _adopt(self, local_run):
+        """Go on with a run that a later boot carried out; return the effects."""
+        effects = [event_of(EventName.RUN_ADOPTED, local_run)]
+        if local_run.stopped:
+            effects.append(self._mark_stopping(local_run))
+        return effects
+
+    def _failing_since(self, now):
+        """Return since when calls to the worker have failed, `now` if they have not."""
+        failing_since = self._lease.failing_since
+        return now if failing_since is None else failing_since
+
+    def _end_as_crashed(self, keys, proof, now):
+        """End runs as lost after their worker has ended without notice.
 
         A draining worker has announced its end, which also ends its runs.
         """
-        if not self._runs or self._worker.draining:
-            return self._end_all_as_lost()
-        crashed_at = now if self._failing_since is None else self._failing_since
-        crashed = worker_crashed(self._worker, self._runs.values(), crashed_at)
-        report = self._crash_log.add(self._runs.values(), crashed_at)
+        former, crashed_at = self._replaced_boot or (
+            self._worker,
+            self._failing_since(now),
+        )
+        self._replaced_boot = None
+        if not keys or former.draining:
+            return self._end_as_lost(keys, proof, now)
+        runs = [self._runs[key] for key in keys]
+        crashed = worker_crashed(former, runs, crashed_at)
+        report = self._crash_log.add(runs, crashed_at)
         ended = [
             Send(effect.receiver, msgspec.structs.replace(effect.body, crash=report))
-            for effect in self._end_all_as_lost()
+            for effect in self._end_as_lost(keys, proof, now)
         ]
         informed = {effect.receiver for effect in ended}
         others = [peer for peer in self._permissions.peers if peer not in informed]
         return [crashed, *ended, *(Send(peer, report) for peer in others)]
 
-    def _end_all_as_lost(self):
-        """End all runs as lost, since the worker can no longer run them."""
+    def _end_as_lost(self, keys, proof, now):
+        """End runs as lost, since the worker can no longer run them."""
         effects = []
-        for key in tuple(self._runs):
-            effects += self._end_run(key, RunEnd.LOST, None)
+        for key in keys:
+            effects += self._end_run(key, RunEnd.LOST, proof, now)
         self._permissions.withdraw()
         return _merge_ends(effects)
 
@@ -602,11 +696,11 @@
         local_run.stopped = True
         if local_run.phase is Phase.RUNNING:
             local_run.phase = Phase.STOPPING
-        return self._stop_command(local_run)
+        return self._stop_command(local_run.task, local_run.run.attempt)
 
-    def _stop_command(self, local_run):
+    def _stop_command(self, task, attempt):
         """Return the command to stop a run."""
-        return StopOnWorker(local_run.task, local_run.run.attempt, self._fencing_token)
+        return StopOnWorker(task, attempt, self._lease.fencing_token)
 
     def _request_renewals(self):
         """Return the effect that requests a renewal from every dispatcher at once."""
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -5,15 +5,21 @@
 
 from ragwortlug.actor import PeerActor, Tick, cancel_all
 from ragwortlug.envelope import Peer, Send
-from ragwortlug.errors import WorkerFencedError, WorkerSilentError
+from ragwortlug.errors import (
+    WorkerFencedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
 from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatchers import Dispatchers
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
     RequestSnapshot,
+    SnapshotRequest,
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    WorkerClock,
     WorkerReport,
     WorkerSnapshot,
 )
@@ -28,9 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerDeparted:
-    """The worker announced that it shuts down."""
+    """The worker announced that it shuts down.
+
+    Attributes
+    ----------
+    booted_at_ms : int
+        Identifies the boot with the id; 0 if unknown.
+    """
 
     worker_id: str
+    booted_at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +51,7 @@
     """The worker answered a snapshot request."""
 
     snapshot: WorkerSnapshot
-    asked_at: float
+    request: SnapshotRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,9 +70,16 @@
     refused: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """A boot with another id answered a call to the worker's boot `boot`."""
+
+    boot: tuple
+
+
 @dataclass(frozen=True, slots=True)
 class Fenced:
-    """The worker has received a higher fencing token.
+    """The worker has received a higher fencing token than that of a request.
 
     Attributes
     ----------
@@ -67,6 +87,7 @@
         The worker's steady clock.
     """
 
+    request: SnapshotRequest
     clock_ms: int
 
 
@@ -76,6 +97,7 @@
 
     key: tuple
     answer: StartAnswer
+    clock: WorkerClock | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,14 +153,17 @@
             Tick: lambda _, now: self._on_tick(now),
             Leave: lambda _, now: runner.leave(),
             WorkerReport: runner.on_report,
-            WorkerDeparted: lambda event, now: runner.on_departed(event.worker_id),
+            WorkerDeparted: lambda event, _: runner.on_departed(
+                event.worker_id, event.booted_at_ms
+            ),
             Looked: lambda event, now: runner.on_snapshot(
-                event.snapshot, event.asked_at, now
+                event.snapshot, event.request, now
             ),
             LookFailed: lambda event, now: runner.on_snapshot_failed(
                 event.boot, event.refused, now
             ),
-            Fenced: lambda event, now: runner.on_fenced(event.clock_ms),
+            Replaced: lambda event, now: runner.on_other_id_answered(event.boot, now),
+            Fenced: lambda event, now: runner.on_fenced(event.request, event.clock_ms),
             StartAnswered: self._on_start_answered,
             StopAnswered: lambda event, now: runner.on_stop_answered(
                 event.command.task, event.command.attempt, event.answered, now
@@ -200,7 +225,7 @@
     def _on_start_answered(self, event, now):
         """Count and process the worker's answer to a start."""
         self._metrics.count("starts_answered", event.answer.name)
-        return self._runner.on_start_answered(event.key, event.answer, now)
+        return self._runner.on_start_answered(event.key, event.answer, now, event.clock)
 
     def _on_tick(self, now):
         """Request the renewals that are due and run the runner's periodic work."""
@@ -248,12 +273,12 @@
         """Start a run on the worker and post the answer."""
         worker = self._runner.worker
         if worker is None or worker.boot_id != command.boot:
-            answer = StartAnswer.REJECTED
+            answer, clock = StartAnswer.REJECTED, None
         else:
             started_at = self._timer.monotonic()
-            answer = await self._client.start_run(worker, command)
+            answer, clock = await self._client.start_run(worker, command)
             self._metrics.time("worker_start", self._timer.monotonic() - started_at)
-        self.post(None, StartAnswered(command.key, answer))
+        self.post(None, StartAnswered(command.key, answer, clock))
 
     async def _stop_run(self, command):
         """Stop a run on the worker and post whether it answered."""
@@ -292,29 +317,27 @@
         The worker answers at the next end of a run, or after `wait_ms`.
         """
         worker = self._runner.worker
-        if worker is None:
+        request = self._runner.build_snapshot_request(self._timer.monotonic())
+        if request is None:
             return False
-        asked_at = self._timer.monotonic()
-        lease_ms = self._runner.lease_until_ms(asked_at)
-        fencing_token, last_end_number = (
-            self._runner.fencing_token,
-            self._runner.last_end_number,
-        )
         try:
-            snapshot = await self._client.request_snapshot(
-                worker, fencing_token, last_end_number, lease_ms, wait_ms
-            )
+            snapshot = await self._client.request_snapshot(worker, request, wait_ms)
         except WorkerFencedError as error:
             self._log.warning(
                 "The worker has received a higher fencing token: {}.", error
             )
-            self.post(None, Fenced(error.clock_ms))
+            self.post(None, Fenced(request, error.clock_ms))
+            return False
+        except WorkerReplacedError as error:
+            self._log.warning("Another boot of the worker answered: {}.", error)
+            self.post(None, Replaced(request.boot))
             return False
         except WorkerSilentError as error:
             self._log.warning("The worker did not answer: {}.", error)
-            self.post(None, LookFailed(worker.boot_id, error.refused))
+            self.post(None, LookFailed(request.boot, error.refused))
             return False
         if not wait_ms:
-            self._metrics.time("worker_look", self._timer.monotonic() - asked_at)
-        self.post(None, Looked(snapshot, asked_at))
+            look_s = self._timer.monotonic() - request.requested_at
+            self._metrics.time("worker_look", look_s)
+        self.post(None, Looked(snapshot, request))
         return True
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -11,7 +11,12 @@
 from ragwortlug.codes import Code
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import decode_body
-from ragwortlug.jobs.worker_calls import ListedRun, WorkerReport, WorkerSnapshot
+from ragwortlug.jobs.worker_calls import (
+    ListedRun,
+    WorkerClock,
+    WorkerReport,
+    WorkerSnapshot,
+)
 from ragwortlug.restartable_model import (
     MAX_STEP_TASKS,
     Queue,
@@ -24,6 +29,7 @@
 from ragwortlug.telemetry.logs import logger
 
 Natural = Annotated[int, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 PERCENT = 100.0
@@ -92,8 +98,15 @@
 class WireClock(msgspec.Struct):
     """Fields of every worker response; `clock_ms` is its monotonic clock."""
 
-    clock_ms: int = 0
+    clock_ms: Milliseconds
     reason: str = ""
+    born: Milliseconds = 0
+
+
+class WireDeparture(msgspec.Struct):
+    """A worker's notice that it shuts down."""
+
+    born: int = 0
 
 
 class WireLists(msgspec.Struct):
@@ -171,6 +184,7 @@
 _jobs = msgspec.json.Decoder(WireJob)
 _reports = msgspec.json.Decoder(WireReport)
 _lists = msgspec.json.Decoder(WireLists)
+_departures = msgspec.json.Decoder(WireDeparture)
 _clocks = msgspec.json.Decoder(WireClock)
 _configurations = msgspec.json.Decoder(WireConfiguration)
 _routes = msgspec.json.Decoder(WireRoute)
@@ -238,10 +252,25 @@
     )
 
 
+def departed_boot_of(raw):
+    """Return the boot time in a notice of shutdown, 0 if it gives none."""
+    if not raw:
+        return 0
+    try:
+        return _departures.decode(raw).born
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        log.warning("Failed to decode a worker's notice of shutdown: {}.", error)
+        return 0
+
+
 def clock_of(raw):
-    """Return the worker's clock, in ms, and its reason for a refusal."""
-    wire = _clocks.decode(raw)
-    return wire.clock_ms, wire.reason
+    """Return the `WorkerClock` in a response, None if invalid, and its reason."""
+    try:
+        wire = _clocks.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        log.error("Failed to decode a worker's answer: {}.", error)
+        return None, ""
+    return WorkerClock(wire.clock_ms, wire.born), wire.reason
 
 
 def table_of(raw):
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -6,7 +6,12 @@
 import msgspec
 from aiohttp import web
 
-from ragwortlug.errors import RequestError, WorkerFencedError, WorkerSilentError
+from ragwortlug.errors import (
+    RequestError,
+    WorkerFencedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+)
 from ragwortlug.io.http import json_response
 from ragwortlug.jobs.worker_calls import StartAnswer
 from ragwortlug.leased_actor import WorkerDeparted
@@ -19,6 +24,8 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_OTHER_BOOT = 421
+# A worker that answers a start with one of these has done nothing.
+HTTP_REJECTED = frozenset({400, HTTP_CONFLICT, 429, 503})
 
 log = logger("worker")
 _encoder = msgspec.json.Encoder()
@@ -67,7 +74,8 @@
 
     async def _on_departure(self, request):
         """Receive the worker's notice that it is shutting down."""
-        self._post(WorkerDeparted(request.match_info["id"]))
+        booted_at_ms = wire.departed_boot_of(await request.read())
+        self._post(WorkerDeparted(request.match_info["id"], booted_at_ms))
         return json_response({})
 
 
@@ -99,7 +107,10 @@
             await self._session.close()
 
     async def start_run(self, worker, command):
-        """Ask the worker to start a run; return a `StartAnswer`."""
+        """Ask the worker to start a run; return its `StartAnswer` and `WorkerClock`.
+
+        The clock is None without an answer that gives it.
+        """
         body = {
             "task": wire.task_name(
                 (command.run.job_id, command.run.step, command.run.index)
@@ -113,18 +124,22 @@
             status, raw = await self._post(worker, "/api/run-start", body)
         except _NO_ANSWER_ERRORS as error:
             if _is_refused(error):
-                return StartAnswer.REJECTED
+                # The connection was never open, so the start was not sent.
+                return StartAnswer.REJECTED, None
             log.warning("No answer from the worker to a start: {!r}.", error)
-            return StartAnswer.NO_ANSWER
-        if status == HTTP_OK:
-            return StartAnswer.STARTED
+            return StartAnswer.NO_ANSWER, None
         if status == HTTP_OTHER_BOOT:
-            return StartAnswer.OTHER_BOOT
-        reason = wire.clock_of(raw)[1] if status == HTTP_CONFLICT else ""
+            return StartAnswer.OTHER_BOOT, None
+        clock, reason = wire.clock_of(raw)
+        if status == HTTP_OK:
+            return StartAnswer.STARTED, clock
         log.warning(
-            "The worker rejected a start: status {}, reason {!r}.", status, reason
+            "The worker did not start a run: status {}, reason {!r}.", status, reason
         )
-        return StartAnswer.OUTDATED if reason == "old" else StartAnswer.REJECTED
+        if status not in HTTP_REJECTED:
+            return StartAnswer.NO_ANSWER, None
+        outdated = status == HTTP_CONFLICT and reason == "old"
+        return (StartAnswer.OUTDATED if outdated else StartAnswer.REJECTED), clock
 
     async def stop_run(self, worker, command):
         """Ask the worker to stop a run; return whether it answered with status 200."""
@@ -140,35 +155,37 @@
             return False
         return status == HTTP_OK
 
-    async def request_snapshot(
-        self, worker, fencing_token, last_end_number, lease_until_ms, wait_ms
-    ):
+    async def request_snapshot(self, worker, request, wait_ms):
         """Renew the lease of all runs; return the `WorkerSnapshot`.
 
         Raises
         ------
         WorkerSilentError
-            There is no usable answer, or another boot answers.
+            There is no usable answer.
+        WorkerReplacedError
+            A boot with another id answers.
         WorkerFencedError
             The worker accepts only a higher fencing token.
         """
         body = {
-            "fencing_token": fencing_token,
-            "last_seen": last_end_number,
+            "fencing_token": request.fencing_token,
+            "last_seen": request.last_end_number,
             "wait_ms": wait_ms,
         }
-        if lease_until_ms is not None:
-            body["deadline_ms"] = lease_until_ms
+        if request.lease_until_ms is not None:
+            body["deadline_ms"] = request.lease_until_ms
         try:
             status, raw = await self._post(worker, "/api/hold", body, wait_ms)
             if status == HTTP_OK:
                 return wire.snapshot_of(raw)
             if status == HTTP_CONFLICT:
-                clock_ms, reason = wire.clock_of(raw)
-                raise WorkerFencedError(reason, clock_ms)
+                clock, reason = wire.clock_of(raw)
+                raise WorkerFencedError(reason, clock.clock_ms if clock else 0)
         except _NO_ANSWER_ERRORS as error:
             raise WorkerSilentError(repr(error), _is_refused(error)) from error
-        raise WorkerSilentError(f"status {status}", status == HTTP_OTHER_BOOT)
+        if status == HTTP_OTHER_BOOT:
+            raise WorkerReplacedError(f"{worker.id} is not the id of the worker")
+        raise WorkerSilentError(f"status {status}")
 
     async def _post(self, worker, path, body, wait_ms=0):
         """Make one call; return the status and the body of the response."""
@@ -188,6 +205,11 @@
 
 
 def _is_refused(error):
-    """Return whether the port of the worker refused the connection."""
-    cause = getattr(error, "os_error", error)
-    return getattr(cause, "errno", None) == errno.ECONNREFUSED
+    """Return whether the port of the worker refused the connection.
+
+    On an open connection the same error number does not mean that nothing was sent.
+    """
+    return (
+        isinstance(error, aiohttp.ClientConnectorError)
+        and error.os_error.errno == errno.ECONNREFUSED
+    )
