--- a/tests/test_restartable.py
+++ b/tests/test_restartable.py
@@ -181,10 +181,13 @@
     """Without failures every job is done."""
 
     def test_all_jobs_are_done(self):
-        play = play_under(7, Faults(), [])
-        assert_sound(play)
-        assert {each.code for each in play.callers.values()} == {Code.OK}
-        assert play.benefit() > 0.99
+        benefits = []
+        for seed in range(12):
+            play = play_under(seed, Faults(), [])
+            assert_sound(play)
+            assert {each.code for each in play.callers.values()} == {Code.OK}
+            benefits.append(play.benefit())
+        assert sum(benefits) / len(benefits) > 0.99
 
     def test_failed_runs_are_tried_elsewhere(self):
         play = play_under(8, Faults(fail=0.02), [])
