--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -127,6 +127,8 @@
                 changed = Event(EventName.WORKER_CHANGED, "", fields)
                 return [changed, *self._request_renewals()]
             return []
+        if previous is None and self._runs and self._replaced_boot is not None:
+            previous, _ = self._replaced_boot
         older = previous is not None and report.booted_at_ms < previous.booted_at_ms
         if older or report.boot_id == self._ended_boot_id:
             return []
@@ -224,6 +226,7 @@
             now,
             self._lease.fencing_token,
             self._last_end_number,
+            self._lease.least_clock_ms,
             self._give_lease(now),
         )
 
@@ -255,6 +258,9 @@
             return []
         if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
             return self._on_replaced(self._worker.id, now)
+        if not snapshot.booted_at_ms and snapshot.clock_ms < request.least_clock_ms:
+            # It may come from a later boot, whose report follows.
+            return self.on_snapshot_failed(request.boot, False, now)
         was_fenced = self._lease.is_fenced
         self._lease.on_contact(request.fencing_token, now)
         by_run = {
@@ -275,9 +281,28 @@
         if not self._has_snapshot:
             token = self._worker.booted_at_ms + snapshot.clock_ms
             self._lease.raise_token(token)
-            self._has_snapshot = True
+            self._has_snapshot = snapshot.is_complete
         effects += self._record_running(snapshot.running, by_run, now)
-        listed = {(row.task, row.attempt) for row in snapshot.running}
+        if snapshot.is_complete:
+            listed = {(row.task, row.attempt) for row in snapshot.running}
+            effects += self._end_unlisted(listed, requested_at, now)
+        if not self._lease.is_fenced:
+            effects.append(RequestSnapshot())
+        elif not was_fenced:
+            effects += self._request_renewals()
+        return self._offer_then_report(effects, now)
+
+    def _end_unlisted(self, listed, requested_at, now):
+        """End the runs that a snapshot proves not to run; stop the unconfirmed ones.
+
+        Parameters
+        ----------
+        listed : set
+            Task and attempt of each run that the worker has.
+        requested_at : float
+            When the snapshot was requested, in monotonic seconds.
+        """
+        effects = []
         if self._replaced_boot is not None:
             former_runs = [
                 key
@@ -302,11 +327,7 @@
                 started = local_run.phase is Phase.RUNNING or local_run.stopped
                 end = RunEnd.LOST if started else RunEnd.NOT_STARTED
                 effects += self._end_run(key, end, EndProof.NOT_LISTED, now)
-        if not self._lease.is_fenced:
-            effects.append(RequestSnapshot())
-        elif not was_fenced:
-            effects += self._request_renewals()
-        return self._offer_then_report(effects, now)
+        return effects
 
     def on_snapshot_failed(self, boot, refused, now):
         """Handle a snapshot request that a boot of the worker did not answer.
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -92,12 +92,15 @@
     ----------
     booted_at_ms : int
         Identifies the boot that answers; 0 if the worker does not give it.
+    is_complete : bool
+        Whether every row was valid. Otherwise a run may run that is not listed.
     """
 
     clock_ms: int
     booted_at_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[ListedRun, ...]
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +115,8 @@
         Monotonic seconds.
     last_end_number : int
         Number of the latest end that was read.
+    least_clock_ms : int
+        What the clock of the boot showed before.
     lease_until_ms : int or None
         Time at which the lease expires, on the worker's clock; None to give none.
     """
@@ -120,6 +125,7 @@
     requested_at: float
     fencing_token: int
     last_end_number: int
+    least_clock_ms: int
     lease_until_ms: int | None
 
 
--- a/ragwortlug/jobs/worker_lease.py
+++ b/ragwortlug/jobs/worker_lease.py
@@ -36,6 +36,11 @@
         """Return when the worker's clock was read last, and its ms, or None."""
         return self._clock_base
 
+    @property
+    def least_clock_ms(self):
+        """Return what the worker's clock has shown at least."""
+        return 0 if self._clock_base is None else self._clock_base[1]
+
     @property
     def is_fenced(self):
         """Return whether the worker refuses all commands with an earlier token."""
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -106,7 +106,7 @@
 class WireDeparture(msgspec.Struct):
     """A worker's notice that it shuts down."""
 
-    born: int = 0
+    born: Milliseconds = 0
 
 
 class WireLists(msgspec.Struct):
@@ -116,10 +116,10 @@
     use; a row of `finished` holds number, task, run, how and checkpoint.
     """
 
-    clock_ms: int
-    running: list[list[Any]] = []
-    finished: list[list[Any]] = []
-    born: int = 0
+    clock_ms: Milliseconds
+    running: list[Any] = []
+    finished: list[Any] = []
+    born: Milliseconds = 0
 
 
 class WireRoute(msgspec.Struct):
@@ -240,15 +240,25 @@
 
 
 def snapshot_of(raw):
-    """Return the `WorkerSnapshot` in a response, without its invalid rows."""
-    wire = _lists.decode(raw)
-    running = (_row_or_none(_running_row, row) for row in wire.running)
-    ended = (_row_or_none(_ended_row, row) for row in wire.finished)
+    """Return the `WorkerSnapshot` in a response, without its invalid rows.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The response is no snapshot.
+    """
+    try:
+        wire = _lists.decode(raw)
+    except (UnicodeDecodeError, RecursionError) as error:
+        raise msgspec.DecodeError(str(error)) from error
+    running = [_row_or_none(_running_row, row) for row in wire.running]
+    ended = [_row_or_none(_ended_row, row) for row in wire.finished]
     return WorkerSnapshot(
         wire.clock_ms,
         wire.born,
         tuple(run for run in running if run is not None),
         tuple(run for run in ended if run is not None),
+        None not in running,
     )
 
 
@@ -350,6 +360,13 @@
     """Return the decoded row, or None if the row is invalid."""
     try:
         return decode(row)
-    except (IndexError, KeyError, ValueError, TypeError, AttributeError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        IndexError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
         log.error("Skipped an invalid row of a worker's list, {!r}: {!r}.", row, error)
         return None
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -311,6 +311,89 @@
         assert agent.accepting
 
 
+class TestSnapshotsThatProveNothing:
+    """A run ends only by a snapshot of its boot that can be read in full."""
+
+    LATER = dataclasses.replace(REPORT, booted_at_ms=10_050, clock_ms=5)
+
+    def test_an_answer_of_the_former_boot_ends_no_run_of_the_next(self):
+        agent = runner()
+        former = agent.build_snapshot_request(10.0)
+        agent.on_report(self.LATER, 10.05)
+        for now in (10.06, 10.07):
+            look(agent, WorkerSnapshot(20, 10_050, (), ()), now)
+        start(agent, 10.1)
+        answer_start(agent, 10.11, 70)
+        effects = agent.on_snapshot(WorkerSnapshot(250, 1, (), ()), former, 10.12)
+        assert effects == []
+        assert agent.running == 1
+
+    def test_a_listed_run_that_cannot_be_read_does_not_end(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        raw = b'{"clock_ms":300,"born":1,"running":[["odd"]],"finished":[]}'
+        effects = look(agent, wire.snapshot_of(raw), 10.1)
+        assert reported_ends(effects) == []
+        assert agent.running == 1
+
+    def test_no_run_starts_before_a_snapshot_can_be_read(self):
+        agent = LeasedRunner(RestartSettings())
+        agent.on_report(REPORT, 10.0)
+        raw = b'{"clock_ms":300,"born":1,"running":[["odd"]],"finished":[]}'
+        for now in (10.0, 10.1):
+            look(agent, wire.snapshot_of(raw), now)
+        assert not agent.accepting
+        for now in (10.2, 10.3):
+            look(agent, WorkerSnapshot(500, 1, (), ()), now)
+        assert agent.accepting
+
+    def test_a_clock_that_went_back_without_a_boot_ends_no_run(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        effects = look(agent, WorkerSnapshot(30, 0, (), ()), 10.1)
+        assert reported_ends(effects) == []
+        assert agent.running == 1
+
+    def test_a_report_of_an_older_boot_ends_no_run_that_is_open(self):
+        agent = runner()
+        agent.on_report(self.LATER, 10.05)
+        for now in (10.06, 10.07):
+            look(agent, WorkerSnapshot(200, 10_050, (), ()), now)
+        start(agent, 10.1)
+        look(agent, WorkerSnapshot(2, 10_150, (), ()), 10.2)
+        older = dataclasses.replace(REPORT, id="i-0", booted_at_ms=9000)
+        assert agent.on_report(older, 10.21) == []
+        assert agent.running == 1
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"",
+            b"{}",
+            b"\xff",
+            b'{"clock_ms":"1"}',
+            b'{"clock_ms":1,"running":{}}',
+            b'{"clock_ms":' + b"9" * 40 + b"}",
+            b'{"clock_ms":1,"born":' + b"9" * 40 + b"}",
+            b'{"clock_ms":1,"running":' + b"[" * 100_000,
+        ],
+    )
+    def test_what_is_no_snapshot(self, raw):
+        with pytest.raises(msgspec.DecodeError):
+            wire.snapshot_of(raw)
+
+    @pytest.mark.parametrize(
+        "row", ["7", "[]", '"x"', "{}", '["00c0.0.0.0",1,"",1e300]', "null"]
+    )
+    def test_a_row_that_cannot_be_read_costs_only_itself(self, row):
+        good = f'["{RUN.job_id}.0.0.0",1,"",40]'
+        raw = f'{{"clock_ms":300,"running":[{row},{good}],"finished":[{row}]}}'
+        snapshot = wire.snapshot_of(raw.encode())
+        assert ListedRun((RUN.job_id, 0, 0), 1, 0.4) in snapshot.running
+
+
 class TestDepartures:
     """A worker that announced its shutdown may still run for a moment."""
 
