Report a suspected crash of a worker at once

Change: the report of the crash goes out with the refused connection; the runs still end with their lease. It is forgotten if the boot answers again; a task that ends well is cleared at the dispatchers.

--- a/ragwortlug/jobs/crash_log.py
+++ b/ragwortlug/jobs/crash_log.py
@@ -49,6 +49,12 @@
         self._crashes.append((crashed_at, message))
         return message
 
+    def remove(self, report):
+        """Remove a crash that turned out to be none."""
+        self._crashes = deque(
+            (each for each in self._crashes if each[1] is not report), maxlen=MAX_KEPT
+        )
+
     def reports(self, now):
         """Return the reports of the crashes that are still of use, a list."""
         return [
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -64,6 +64,8 @@
         # keys, so that their order does not depend on hashes.
         self._uninformed = {}
         self._crash_log = CrashLog()
+        # The report of a crash that a refused connection suggests, until it is proved.
+        self._suspected_crash = None
         self._latest_snapshot_requested_at = 0.0
         self._ended_runs = EndedRuns()
         self._next_snapshot_at = 0.0
@@ -263,6 +265,8 @@
             return self.on_snapshot_failed(request.boot, False, now)
         was_fenced = self._lease.is_fenced
         self._lease.on_contact(request.fencing_token, now)
+        if self._replaced_boot is None:
+            self._withdraw_suspicion()
         by_run = {
             (local_run.task, local_run.run.attempt): key
             for key, local_run in self._runs.items()
@@ -350,8 +354,28 @@
                 Event(EventName.WORKER_SILENT, "", fields),
                 *self._request_renewals(),
             ]
+        effects += self._report_suspected_crash(now)
         return effects + self._end_expired(now)
 
+    def _report_suspected_crash(self, now):
+        """Report the crash that a refused connection suggests; its runs may go on.
+
+        Dispatchers learn at once which tasks may be at fault. A task that ends well
+        after all is cleared there.
+        """
+        is_known = self._suspected_crash is not None or not self._runs
+        if not self._lease.refused or is_known or self._worker.draining:
+            return []
+        crashed_at = self._failing_since(now)
+        self._suspected_crash = self._crash_log.add(self._runs.values(), crashed_at)
+        return [Send(peer, self._suspected_crash) for peer in self._permissions.peers]
+
+    def _withdraw_suspicion(self):
+        """Forget a suspected crash, as the boot answers again."""
+        if self._suspected_crash is not None:
+            self._crash_log.remove(self._suspected_crash)
+            self._suspected_crash = None
+
     def _end_expired(self, now):
         """End the runs of a silent worker once its lease must have expired.
 
@@ -695,7 +719,8 @@
             return self._end_as_lost(keys, proof, now)
         runs = [self._runs[key] for key in keys]
         crashed = worker_crashed(former, runs, crashed_at)
-        report = self._crash_log.add(runs, crashed_at)
+        report = self._suspected_crash or self._crash_log.add(runs, crashed_at)
+        self._suspected_crash = None
         ended = [
             Send(effect.receiver, msgspec.structs.replace(effect.body, crash=report))
             for effect in self._end_as_lost(keys, proof, now)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -18,7 +18,14 @@
     WorkerReport,
     WorkerSnapshot,
 )
-from ragwortlug.lease_messages import Offer, Renewed, RunsEnded, StartRuns, Wants
+from ragwortlug.lease_messages import (
+    Offer,
+    Renewed,
+    RunsEnded,
+    StartRuns,
+    Wants,
+    WorkerCrashed,
+)
 from ragwortlug.lease_settings import RestartSettings
 from ragwortlug.platform import wire
 from ragwortlug.restartable_model import Rank, Resources, Run, RunEnd
@@ -33,7 +40,7 @@
 
 def runner():
     """Return a runner whose worker is ready at second 10."""
-    found = LeasedRunner(RestartSettings())
+    found = LeasedRunner(RestartSettings(lease_ms=900))
     found.on_report(REPORT, 10.0)
     look(found, WorkerSnapshot(200, 1, (), ()), 10.0)
     look(found, WorkerSnapshot(200, 1, (), ()), 10.0)
@@ -214,6 +221,29 @@
         assert events(effects, EventName.RUN_FOREIGN) == []
         assert agent.running == 1
 
+    def test_dispatchers_learn_of_a_suspected_crash_before_its_runs_have_ended(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        agent.on_renewed(OTHER, Renewed(10_000), 10.0)
+        effects = agent.on_snapshot_failed(REPORT.boot_id, True, 10.03)
+        reports = messages(effects, WorkerCrashed)
+        assert [receiver for receiver, _ in reports] == [SENDER, OTHER]
+        assert [run.age_ms for run in reports[0][1].runs] == [30]
+        assert reported_ends(effects) == []
+        assert agent.on_snapshot_failed(REPORT.boot_id, True, 10.05) == []
+        ((_, ended),) = messages(agent.tick(10.9), RunsEnded)
+        assert ended.crash == reports[0][1]
+
+    def test_a_suspected_crash_is_forgotten_when_the_boot_answers(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        agent.on_snapshot_failed(REPORT.boot_id, True, 10.03)
+        row = ListedRun((RUN.job_id, 0, 0), 1, 0.4)
+        look(agent, WorkerSnapshot(500, 1, (row,), ()), 10.3)
+        assert agent.on_renewed(OTHER, Renewed(10_300), 10.3) == []
+
     def test_a_worker_that_was_only_silent_has_not_crashed(self):
         agent = runner()
         start(agent)
@@ -287,7 +317,7 @@
     FOREIGN = (ListedRun((RUN.job_id, 0, 0), 1, 0.4),)
 
     def test_runs_of_the_former_process_get_no_lease(self):
-        agent = LeasedRunner(RestartSettings())
+        agent = LeasedRunner(RestartSettings(lease_ms=900))
         agent.on_report(REPORT, 10.0)
         assert agent.build_snapshot_request(10.0).lease_until_ms is None
         for now in (10.0, 10.1, 10.2):
@@ -298,7 +328,7 @@
         assert agent.build_snapshot_request(10.3).lease_until_ms is not None
 
     def test_starts_of_the_former_process_are_fenced_before_the_first_lease(self):
-        agent = LeasedRunner(RestartSettings())
+        agent = LeasedRunner(RestartSettings(lease_ms=900))
         agent.on_report(REPORT, 10.0)
         first = agent.build_snapshot_request(10.0)
         effects = agent.on_snapshot(WorkerSnapshot(5000, 1, (), ()), first, 10.0)
@@ -338,7 +368,7 @@
         assert agent.running == 1
 
     def test_no_run_starts_before_a_snapshot_can_be_read(self):
-        agent = LeasedRunner(RestartSettings())
+        agent = LeasedRunner(RestartSettings(lease_ms=900))
         agent.on_report(REPORT, 10.0)
         raw = b'{"clock_ms":300,"born":1,"running":[["odd"]],"finished":[]}'
         for now in (10.0, 10.1):
