Decode deeply nested bytes into the error that readers expect

Seen: 200,000 nested brackets raised RecursionError, for which no reader is prepared. A caller got 500 (INTERNAL) in place of 400, a worker's report too; an agent's record in the store ended the task that reads it, a configuration ended the watch, an answer of a worker ended the task that asks for its runs, and a message ended the turn of the event loop in which it was read. Cause: the decoders of the library raise RecursionError (and OverflowError and UnicodeDecodeError), which don't derive from DecodeError. The test of the internal ports read each answer one message late, so it never looked at the last one; it now reads one answer for each message. Fix: ragwortlug/decoding.py has the only decoders of bytes from outside; they raise DecodeError for all of these.

--- a/ragwortlug/cli.py
+++ b/ragwortlug/cli.py
@@ -17,6 +17,7 @@
 from ragwortlug.codes import Code, Verdict
 from ragwortlug.compose import compose_agent, compose_entry
 from ragwortlug.daemon import serve
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import RagwortlugError, RequestError, SettingsError
 from ragwortlug.model import Task
 from ragwortlug.reference import PAGES
@@ -269,7 +270,7 @@
     """Return the release note in a file, or raise `RequestError`."""
     try:
         raw = sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
-        return msgspec.json.decode(raw, type=ReleaseNote)
+        return JsonDecoder(ReleaseNote).decode(raw)
     except OSError as error:
         raise RequestError(f"{path}: {error.strerror}", Code.BAD_FIELD) from error
     except msgspec.ValidationError as error:
@@ -281,8 +282,8 @@
 def _json(text):
     """Return the decoded JSON of an argument, or raise `RequestError`."""
     try:
-        return json.loads(text)
-    except ValueError as error:
+        return JsonDecoder().decode(text)
+    except msgspec.DecodeError as error:
         raise RequestError(f"{text!r}: {error}", Code.BAD_JSON) from error
 
 
--- a/ragwortlug/client.py
+++ b/ragwortlug/client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import RagwortlugError
 from ragwortlug.model import Answer, Job, Task, TaskOutcome, new_job_id
 
@@ -41,7 +42,8 @@
     tasks: tuple[ReplyTask, ...] = field(default_factory=tuple)
 
 
-_replies = msgspec.json.Decoder(ReplyBody)
+_json_decoder = JsonDecoder()
+_replies = JsonDecoder(ReplyBody)
 
 
 class Client:
@@ -121,13 +123,13 @@
     async def get(self, path):
         """Return the decoded JSON that an entry serves at a path."""
         async with self._session.get(self._next_entry() + path) as response:
-            return msgspec.json.decode(await response.read())
+            return _json_decoder.decode(await response.read())
 
     async def post(self, path, body):
         """Post a JSON body to an entry and return the decoded reply."""
         url = self._next_entry() + path
         async with self._session.post(url, data=_encoder.encode(body)) as response:
-            return msgspec.json.decode(await response.read())
+            return _json_decoder.decode(await response.read())
 
     def _job_path(self, job_id, wait):
         """Return the path and query of a job."""
--- a/ragwortlug/envelope.py
+++ b/ragwortlug/envelope.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragwortlug.decoding import MessagePackDecoder
 from ragwortlug.errors import MessageError
 
 Body = TypeVar("Body")
@@ -61,7 +62,7 @@
 
     def __init__(self, bodies):
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Envelope[bodies])
+        self._decoder = MessagePackDecoder(Envelope[bodies])
 
     def encode(self, envelope):
         """Return the bytes of an envelope."""
@@ -71,5 +72,5 @@
         """Return the envelope in `data`; raise `MessageError` if it is not valid."""
         try:
             return self._decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except msgspec.DecodeError as error:
             raise MessageError(f"{len(data)} bytes: {error}") from error
--- a/ragwortlug/io/callers.py
+++ b/ragwortlug/io/callers.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-import msgspec
 from aiohttp import web
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import error_body, json_response, read_body
 from ragwortlug.model import MAX_TASKS, Answer, Job, Name, Natural, Task, is_job_id
@@ -24,7 +24,7 @@
     deadline_ms: Natural = 0
 
 
-_submission_decoder = msgspec.json.Decoder(Submission)
+_submission_decoder = JsonDecoder(Submission)
 
 
 class CallerRoutes:
--- a/ragwortlug/io/etcd.py
+++ b/ragwortlug/io/etcd.py
@@ -8,11 +8,15 @@
 from dataclasses import dataclass
 
 import aiohttp
+import msgspec
 
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import StoreAnswerLostError, StoreError
 
 CALL_TIMEOUT_S = 1.0
 
+_decoder = JsonDecoder(dict)
+
 
 @dataclass(frozen=True, slots=True)
 class StoredValue:
@@ -141,8 +145,8 @@
             ) as response:
                 if response.status != 200:
                     raise StoreError(f"{name}: the store said {response.status}")
-                return await response.json()
-        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+                return _decoder.decode(await response.read())
+        except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError) as error:
             self._metrics.count("store_failures", name)
             raise StoreError(f"{name}: {type(error).__name__} {error}") from error
         finally:
--- a/ragwortlug/io/http.py
+++ b/ragwortlug/io/http.py
@@ -64,7 +64,7 @@
         return decoder.decode(raw)
     except msgspec.ValidationError as error:
         raise RequestError(str(error), Code.BAD_FIELD) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise RequestError(str(error), Code.BAD_JSON) from error
 
 
--- a/ragwortlug/io/operators.py
+++ b/ragwortlug/io/operators.py
@@ -3,10 +3,10 @@
 import asyncio
 import uuid
 
-import msgspec
 from aiohttp import web
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import error_body, health_routes, json_response, read_body
 from ragwortlug.io.view_sync import possibly_live_peers
@@ -15,7 +15,7 @@
 
 TRACE_TIMEOUT_S = 1.0
 
-_note_decoder = msgspec.json.Decoder(ReleaseNote)
+_note_decoder = JsonDecoder(ReleaseNote)
 
 
 class OperatorRoutes:
--- a/ragwortlug/io/registrar.py
+++ b/ragwortlug/io/registrar.py
@@ -11,6 +11,7 @@
 
 from ragwortlug.actor import cancel_all
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import (
     NoteError,
     RagwortlugError,
@@ -45,6 +46,9 @@
     note: ReleaseNote
 
 
+_note_decoder = JsonDecoder(AcceptedNote)
+
+
 @dataclass(frozen=True, slots=True)
 class NoteResult:
     """The result of submitting a release note."""
@@ -145,7 +149,7 @@
     async def history(self):
         """Return all `AcceptedNote`, oldest first."""
         values = await self._store.list(NOTE_KEYS)
-        notes = [msgspec.json.decode(value, type=AcceptedNote) for value in values]
+        notes = [_note_decoder.decode(value) for value in values]
         return sorted(notes, key=lambda accepted: accepted.version)
 
     async def accepted(self, note_id):
@@ -153,7 +157,7 @@
         stored = await self._store.get(NOTE_KEYS + note_id)
         if not stored.revision:
             return None
-        return msgspec.json.decode(stored.value, type=AcceptedNote)
+        return _note_decoder.decode(stored.value)
 
     def lagging_members(self, version):
         """Return the names of processes that may not yet apply a version.
@@ -288,7 +292,7 @@
     async def _read_key(self, key, kind):
         """Return the decoded value of a key and record its revision."""
         stored = await self._store.get(key)
-        value = msgspec.json.decode(stored.value, type=kind)
+        value = JsonDecoder(kind).decode(stored.value)
         self._revisions[key] = stored.revision
         return value
 
--- a/ragwortlug/io/targets.py
+++ b/ragwortlug/io/targets.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.io.http import json_response, read_body
 from ragwortlug.model import Announcement, TaskOutcome
 
@@ -22,8 +23,8 @@
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 1.0
 
-_announcement_decoder = msgspec.json.Decoder(Announcement)
-_json_decoder = msgspec.json.Decoder()
+_announcement_decoder = JsonDecoder(Announcement)
+_json_decoder = JsonDecoder()
 _encoder = msgspec.json.Encoder()
 
 
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import decode_body
 from ragwortlug.jobs.worker_calls import ListedRun, WorkerReport, WorkerSnapshot
@@ -168,16 +169,16 @@
     report: msgspec.Raw
 
 
-_jobs = msgspec.json.Decoder(WireJob)
-_reports = msgspec.json.Decoder(WireReport)
-_lists = msgspec.json.Decoder(WireLists)
-_clocks = msgspec.json.Decoder(WireClock)
-_configurations = msgspec.json.Decoder(WireConfiguration)
-_routes = msgspec.json.Decoder(WireRoute)
-_items = msgspec.json.Decoder(WireItems)
-_item = msgspec.json.Decoder(WireItem)
-_leases = msgspec.json.Decoder(WireLease)
-_records = msgspec.json.Decoder(WireRecord)
+_jobs = JsonDecoder(WireJob)
+_reports = JsonDecoder(WireReport)
+_lists = JsonDecoder(WireLists)
+_clocks = JsonDecoder(WireClock)
+_configurations = JsonDecoder(WireConfiguration)
+_routes = JsonDecoder(WireRoute)
+_items = JsonDecoder(WireItems)
+_item = JsonDecoder(WireItem)
+_leases = JsonDecoder(WireLease)
+_records = JsonDecoder(WireRecord)
 
 
 def job_of(job_id, raw):
@@ -206,10 +207,7 @@
 
 def report_of(worker_id, raw):
     """Return the `WorkerReport` in a status report, or raise `RequestError`."""
-    try:
-        wire = _reports.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RequestError(str(error), Code.BAD_FIELD) from error
+    wire = decode_body(raw, _reports)
     return WorkerReport(
         worker_id,
         wire.born,
@@ -289,7 +287,7 @@
 
 def recalled_of(raw):
     """Return the `WorkerReport` in an agent's record, or raise `RequestError`."""
-    record = _records.decode(raw)
+    record = decode_body(raw, _records)
     return report_of(record.id, bytes(record.report))
 
 
--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import SettingsError
 from ragwortlug.lease_settings import Count, LogSettings, Seconds, parse_address
 from ragwortlug.model import Name
@@ -157,8 +158,8 @@
     except OSError as error:
         raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
     try:
-        settings = msgspec.json.decode(raw, type=kind, strict=True)
-        _refuse_unknown(msgspec.json.decode(raw), kind, "$")
+        settings = JsonDecoder(kind).decode(raw)
+        _refuse_unknown(JsonDecoder().decode(raw), kind, "$")
     except msgspec.DecodeError as error:
         raise SettingsError(f"{path}: {error}") from error
     for name in ("address", "http", "entries"):
--- a/ragwortlug/telemetry/timeline.py
+++ b/ragwortlug/telemetry/timeline.py
@@ -4,10 +4,14 @@
 
 import msgspec
 
+from ragwortlug.decoding import JsonDecoder
+
 JOB_KEY = "job"
 ORDERS_KEY = "orders"
 MS_PER_S = 1000.0
 
+_json_decoder = JsonDecoder()
+
 # Fields that the timeline shows elsewhere: in the line's head or on separate lines.
 _NOT_SHOWN = frozenset({"time", "process", "event", JOB_KEY, ORDERS_KEY})
 
@@ -44,8 +48,8 @@
         for text in file:
             start = text.find("{")
             try:
-                event = msgspec.json.decode(text[start:] if start >= 0 else text)
-            except (msgspec.DecodeError, UnicodeDecodeError):
+                event = _json_decoder.decode(text[start:] if start >= 0 else text)
+            except msgspec.DecodeError:
                 unreadable += bool(text.strip())
                 continue
             if isinstance(event, dict) and event.get(JOB_KEY) == job_id:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -26,6 +26,9 @@
     slots=4,
 )
 HOUR_MS = 3_600_000
+STRANGER = Peer("tcp://127.0.0.1:1", "stranger")
+# A message with one element more than it should have, which is deeply nested.
+NESTED = b"\x94" + CODEC.encode(Envelope(STRANGER, "", Load(1)))[1:] + b"\x91" * 200_000
 
 
 def submission(**fields):
@@ -43,6 +46,7 @@
 BODIES = {
     "no JSON": (b"{", Code.BAD_JSON),
     "no text": (b"\xff\xfe", Code.BAD_JSON),
+    "deeply nested": (b'{"tasks":[{"payload":' + b"[" * 200_000, Code.BAD_JSON),
     "a list": (b"[]", Code.BAD_FIELD),
     "a wrong type": (submission(tasks="many"), Code.BAD_FIELD),
     "a missing field": (submission(team=None), Code.BAD_FIELD),
@@ -184,11 +188,10 @@
             for settings in (PLAN.entry_settings(0), PLAN.agent_settings(0)):
                 socket = context.socket(zmq.DEALER)
                 socket.connect(settings.address)
-                stranger = Peer("tcp://127.0.0.1:1", "stranger")
-                other = CODEC.encode(Envelope(stranger, "gone", Load(1)))
-                await socket.send_multipart([b"one", b"two"])
-                for bytes_ in (b"\x00\x01nonsense", b"", b"\x93\x01"):
-                    await socket.send(bytes_)
+                other = CODEC.encode(Envelope(STRANGER, "gone", Load(1)))
+                nonsense = (b"\x00\x01nonsense", b"", b"\x93\x01", NESTED)
+                for frames in ([b"one", b"two"], *([each] for each in nonsense)):
+                    await socket.send_multipart(frames)
                     reply = await asyncio.wait_for(socket.recv(), 2)
                     body = CODEC.decode(reply).body
                     assert isinstance(body, Rejected)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -395,6 +395,7 @@
             ("/p/short", "{}", 400, "BAD_JOB_ID"),
             ("/p/" + JOB, "{", 400, "BAD_JSON"),
             ("/p/" + JOB, b"\xff\xfe", 400, "BAD_JSON"),
+            ("/p/" + JOB, '{"x":' + "[" * 1900, 400, "BAD_JSON"),
             ("/p/" + JOB, '{"spec":"x"}', 400, "BAD_FIELD"),
             ("/p/" + JOB, '{"spec":"x","steps":[]}', 400, "BAD_FIELD"),
             ("/p/" + JOB, '{"spec":"x","steps":[{"count":0}]}', 400, "BAD_FIELD"),
@@ -426,6 +427,8 @@
             }
             bad = [
                 b"\xff",
+                b'{"labels":' + b"[" * 200_000,
+                b'{"other":' + b"[" * 200_000,
                 b"{}",
                 json.dumps(good | {"state": "asleep"}).encode(),
                 json.dumps(good | {"capacity": "much"}).encode(),
