Bound the numbers that are decoded from outside

Seen: a worker's report with a `born` or `clock_ms` of 10^30 or 10^400 was taken; both went into fencing tokens and times, and such a number fits in no message. A `born` in the far future made the worker's true reports older than it for good. A row of a worker's list with an odd percentage ended the task that reads the list (OverflowError), and one that is no list made the whole answer invalid; a row with a number out of range was taken. A running task was dropped for a missing percentage, as if it had ended. Cause: whole numbers were decoded without an upper bound, times also without a lower one. Fix: types with bounds in ragwortlug/decoding.py, used for the platform's messages, jobs, announcements, release notes and settings; rows are checked one by one, and a run whose percentage can't be read still counts as listed.

--- a/ragwortlug/decoding.py
+++ b/ragwortlug/decoding.py
@@ -1,13 +1,32 @@
-"""Decoders of bytes from outside the process.
+"""Decoders of bytes from outside the process, and the bounds of numbers in them.
 
 Bytes that can't be decoded raise `msgspec.DecodeError`, whatever is wrong with them:
-the decoders of the library also raise errors that do not derive from it.
+the decoders of the library also raise errors that do not derive from it. Without a
+bound, a decoded whole number may have any size, also one that fits in no message.
 """
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+# The largest whole number that every reader of JSON keeps exactly.
+MAX_WHOLE = 2**53 - 1
+MAX_INT64 = 2**63 - 1
+MAX_FACTOR = 1e6
+MAX_COUNT = 2**31 - 1
+MAX_SECONDS = 366 * 24 * 3600
+
+Natural = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_WHOLE)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+# A number that another program counts, such as the revision of a store.
+Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
+# NaN and infinity are outside of any bounds.
+Factor = Annotated[float, msgspec.Meta(ge=0, le=MAX_FACTOR)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_SECONDS)]
+SecondsOrZero = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
+
 _OTHER_FAILURES = (RecursionError, OverflowError, UnicodeDecodeError)
 
 
--- a/ragwortlug/lease_settings.py
+++ b/ragwortlug/lease_settings.py
@@ -3,12 +3,9 @@
 import ipaddress
 import re
 from dataclasses import dataclass, field
-from typing import Annotated, Literal
+from typing import Literal
 
-import msgspec
-
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
+from ragwortlug.decoding import Count, Seconds, SecondsOrZero
 
 _ADDRESS = re.compile(r"^tcp://(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})$")
 MAX_PORT = 65_535
@@ -133,7 +130,7 @@
     """
 
     ready: str
-    drain_s: Annotated[float, msgspec.Meta(ge=0)] = 2.3
+    drain_s: SecondsOrZero = 2.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/ragwortlug/model.py
+++ b/ragwortlug/model.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import MAX_WHOLE, Natural, Positive
 
 MAX_TASKS = 150
 MAX_NAME_LENGTH = 100
@@ -20,8 +21,6 @@
 UUID7_RANDOM_BITS = 80
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
-Natural = Annotated[int, msgspec.Meta(ge=0)]
-Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +122,7 @@
     """The resources in use at a target, as reported with some delay."""
 
     memory_mb: Natural = 0
-    cpus: float = 0.0
+    cpus: Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE)] = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -9,7 +9,15 @@
 import msgspec
 
 from ragwortlug.codes import Code
-from ragwortlug.decoding import JsonDecoder
+from ragwortlug.decoding import (
+    MAX_COUNT,
+    MAX_WHOLE,
+    Counter,
+    Factor,
+    JsonDecoder,
+    Natural,
+    Whole,
+)
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import decode_body
 from ragwortlug.jobs.worker_calls import ListedRun, WorkerReport, WorkerSnapshot
@@ -23,13 +31,29 @@
     Step,
 )
 from ragwortlug.telemetry.logs import logger
-
-Natural = Annotated[int, msgspec.Meta(ge=0)]
-Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+from ragwortlug.timer import Timer
 
 PERCENT = 100.0
+# Index of the percentage in a row of `running`.
+PERCENT_COLUMN = 3
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 150
+# How far the clock of another program may be ahead of the one of this process.
+MAX_CLOCK_LEAD_MS = 366 * 24 * 3_600_000
+
+# The sum of the sizes of all tasks of a job fits into 64 bits.
+Size = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+# What a row of a worker's list raises that is not as it should be.
+_BAD_ROW_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 # The end of a run by the value of `how` in a worker's `finished` list.
 _RUN_END_BY_HOW = {
@@ -47,18 +71,18 @@
 class WireRoom(msgspec.Struct):
     """Resources: thousandths of a core, megabytes of memory, and accelerators."""
 
-    cpu: Natural = 0
-    mem_mb: Natural = 0
-    gpu: Natural = 0
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
 
 
 class WireStep(msgspec.Struct):
     """A step of a job; absent fields default to 0, false or empty."""
 
     count: Annotated[int, msgspec.Meta(ge=1, le=MAX_STEP_TASKS)]
-    cpu: Natural = 0
-    mem_mb: Natural = 0
-    gpu: Natural = 0
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
     estimate_ms: Natural = 0
     after: list[Natural] = []
     requires: str = ""
@@ -83,9 +107,9 @@
     zone: Text
     state: Literal["ready", "draining"]
     capacity: WireRoom
-    clock_ms: int
+    clock_ms: Natural
     sequence: Natural
-    born: int
+    born: Natural
     labels: list[str] = []
     remaining_ms: Natural = 0
 
@@ -93,7 +117,7 @@
 class WireClock(msgspec.Struct):
     """Fields of every worker response; `clock_ms` is its monotonic clock."""
 
-    clock_ms: int = 0
+    clock_ms: Natural = 0
     reason: str = ""
 
 
@@ -104,10 +128,10 @@
     use; a row of `finished` holds number, task, run, how and checkpoint.
     """
 
-    clock_ms: int
-    running: list[list[Any]] = []
-    finished: list[list[Any]] = []
-    born: int = 0
+    clock_ms: Natural
+    running: list[Any] = []
+    finished: list[Any] = []
+    born: Natural = 0
 
 
 class WireRoute(msgspec.Struct):
@@ -117,23 +141,23 @@
     host: Text
     prefix: Text
     service: Text
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: int = 0
-    timeout_ms: int = 0
+    priority: Whole = 0
+    max_attempts: Whole = 1
+    stretch: Factor = 1.0
+    slo_ms: Natural = 0
+    timeout_ms: Natural = 0
 
 
 class WireLimits(msgspec.Struct):
     """Limits on requests."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Natural = 262_144
 
 
 class WireConfiguration(msgspec.Struct):
     """A version of the configuration."""
 
-    version: int
+    version: Counter
     routes: list[msgspec.Raw] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
@@ -142,7 +166,7 @@
     """The value of a key in the store, or the removal of the key."""
 
     key: str
-    revision: int = 0
+    revision: Counter = 0
     value: str = ""
     removed: bool = False
 
@@ -150,7 +174,7 @@
 class WireItems(msgspec.Struct):
     """Items of the store at the revision `as_of`."""
 
-    as_of: int
+    as_of: Counter
     items: list[WireItem] = []
     events: list[WireItem] = []
     has_more: bool = False
@@ -159,7 +183,7 @@
 class WireLease(msgspec.Struct):
     """A lease that the store granted."""
 
-    lease: int
+    lease: Counter
 
 
 class WireRecord(msgspec.Struct):
@@ -208,6 +232,8 @@
 def report_of(worker_id, raw):
     """Return the `WorkerReport` in a status report, or raise `RequestError`."""
     wire = decode_body(raw, _reports)
+    if wire.born > Timer.unix_ms() + MAX_CLOCK_LEAD_MS:
+        raise RequestError(f"born in the future, at {wire.born}", Code.BAD_FIELD)
     return WorkerReport(
         worker_id,
         wire.born,
@@ -300,25 +326,49 @@
 def _task_of(name):
     """Return the job id, step and index in a task name."""
     job_id, _, step, index = name.split(".")
-    return (job_id, int(step), int(index))
+    return (job_id, _number(step), _number(index))
 
 
 def _running_row(row):
     """Return the `ListedRun` in a row of `running`."""
-    return ListedRun(_task_of(row[0]), int(row[1]), float(row[3]) / PERCENT)
+    percent = row[PERCENT_COLUMN] if len(row) > PERCENT_COLUMN else None
+    return ListedRun(_task_of(row[0]), _number(row[1]), _fraction(percent))
 
 
 def _ended_row(row):
     """Return the `ListedRun` in a row of `finished`."""
     return ListedRun(
-        _task_of(row[1]), int(row[2]), number=int(row[0]), end=_RUN_END_BY_HOW[row[3]]
+        _task_of(row[1]),
+        _number(row[2]),
+        number=_number(row[0]),
+        end=_RUN_END_BY_HOW[row[3]],
     )
 
 
+def _number(value):
+    """Return a number that a worker counts, or raise `ValueError`."""
+    number = int(value)
+    if not 0 <= number <= MAX_WHOLE:
+        raise ValueError(f"{number} is out of range")
+    return number
+
+
+def _fraction(percent):
+    """Return the completed fraction of a run; 0 if the worker gives no percentage.
+
+    The run counts as listed even then: it may be in progress.
+    """
+    try:
+        fraction = float(percent) / PERCENT
+    except (TypeError, ValueError, OverflowError):
+        return 0.0
+    return fraction if 0.0 <= fraction <= 1.0 else 0.0
+
+
 def _row_or_none(decode, row):
     """Return the decoded row, or None if the row is invalid."""
     try:
         return decode(row)
-    except (IndexError, KeyError, ValueError, TypeError, AttributeError) as error:
+    except _BAD_ROW_ERRORS as error:
         log.error("Skipped an invalid row of a worker's list, {!r}: {!r}.", row, error)
         return None
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ragwortlug.decoding import Factor
+
 MAX_STEP_TASKS = 10_000
 
 
@@ -118,7 +120,7 @@
     service: str
     priority: int = 0
     max_attempts: int = 1
-    stretch: float = 1.0
+    stretch: Factor = 1.0
     slack_ms: int = 0
     timeout_ms: int = 0
 
--- a/ragwortlug/settings.py
+++ b/ragwortlug/settings.py
@@ -6,9 +6,16 @@
 
 import msgspec
 
-from ragwortlug.decoding import JsonDecoder
+from ragwortlug.decoding import (
+    MAX_COUNT,
+    Count,
+    Factor,
+    JsonDecoder,
+    Seconds,
+    SecondsOrZero,
+)
 from ragwortlug.errors import SettingsError
-from ragwortlug.lease_settings import Count, LogSettings, Seconds, parse_address
+from ragwortlug.lease_settings import LogSettings, parse_address
 from ragwortlug.model import Name
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -39,9 +46,9 @@
     confirm_s: Seconds = 2.0
     poll_s: Seconds = 0.4
     lost_after_s: Seconds = 3.0
-    skew_ms: Annotated[int, msgspec.Meta(ge=0)] = 250
+    skew_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)] = 250
     window_s: Seconds = 600.0
-    vouch_s: Annotated[float, msgspec.Meta(ge=0)] = 300.0
+    vouch_s: SecondsOrZero = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +71,7 @@
     """
 
     queue_tasks: Count = 5_000
-    aging_ms_per_task: Annotated[float, msgspec.Meta(ge=0)] = 400.0
+    aging_ms_per_task: Factor = 400.0
     probes: Count = 3
     hint_s: Seconds = 0.25
     keep_results_mb: Count = 32
@@ -102,7 +109,7 @@
     store: str
     prefix: str = "/ragwortlug"
     body_limit_kb: Count = 1024
-    drain_s: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    drain_s: SecondsOrZero = 1.0
     trace_share: Share = 0.01
     check_invariants: bool = True
     view: ViewSettings = field(default_factory=ViewSettings)
--- a/ragwortlug/view/note.py
+++ b/ragwortlug/view/note.py
@@ -1,12 +1,11 @@
 """Release notes, and the configuration that results from the accepted ones."""
 
 from dataclasses import dataclass, field, replace
-from typing import Annotated, Literal
-
-import msgspec
+from typing import Literal
 
+from ragwortlug.decoding import Natural, Positive
 from ragwortlug.errors import NoteError
-from ragwortlug.model import Name, Natural
+from ragwortlug.model import Name
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +20,7 @@
 
     name: Name
     data_centres: tuple[Name, ...]
-    lease_ms: Annotated[int, msgspec.Meta(ge=1)] = 60_000
+    lease_ms: Positive = 60_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +113,7 @@
 class Configuration:
     """The configuration in force: the result of all accepted notes."""
 
-    version: int = 0
+    version: Natural = 0
     note_id: str = ""
     services: tuple[Service, ...] = ()
     teams: tuple[Team, ...] = ()
