Read the store's items one by one, and keep the last valid configuration

Seen: one odd item among good ones made the whole page invalid, so an entry read no order and followed no event after it. A configuration that can't be decoded held up the evacuations too, and was logged each time an order came; deeply nested ones, and base64 with other than ASCII characters (a plain ValueError), ended the watch for good, as did any error of a receiver of the orders. A store that said "more" without a further key was asked without end. Cause: pages were decoded as a whole; `_publish` returned at the first invalid value; the watch caught two kinds of error. Fix: items are decoded one by one and odd ones logged once; the configuration is decoded when it changes, and the last valid one stays in force beside the newer evacuations. Before any valid one is known the orders come from other entries, as before. The watch logs whatever else happens, and goes on.

--- a/ragwortlug/platform/store.py
+++ b/ragwortlug/platform/store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import binascii
 
 import aiohttp
 import msgspec
@@ -84,9 +83,9 @@
             # Pages are not one snapshot: a watch starts at the first page's revision.
             revision = page.as_of if revision is None else revision
             items.update({item.key: item for item in page.items})
-            if not page.has_more or not page.items:
+            if page.last_key <= after:
                 return items, revision
-            after = page.items[-1].key
+            after = page.last_key
 
     async def changes(self, prefix, after, wait_ms):
         """Return the changes under a prefix after a revision; wait up to `wait_ms`.
@@ -176,6 +175,8 @@
         self._task = None
         self._items = {}
         self._revision = None
+        self._configuration = None
+        self._table = None
         self._lost = False
 
     async def start(self):
@@ -198,7 +199,9 @@
                     "The store has lost its history; reading all keys again: {}.", error
                 )
                 self._revision = None
-            except (StoreError, msgspec.DecodeError) as error:
+            except Exception as error:
+                if not isinstance(error, StoreError | msgspec.DecodeError):
+                    log.exception("Unexpected error in the watch on the orders.")
                 self._record_store_lost(error)
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
@@ -236,23 +239,34 @@
             self._lost = True
 
     def _publish(self):
-        """Call `on_orders` with the orders in force."""
-        table = None
-        item = self._items.get(CONFIGURATION_KEY)
-        if item is not None:
-            try:
-                table = wire.table_of(value_of(item))
-            except msgspec.DecodeError as error:
-                log.error("Failed to decode the configuration: {!r}.", error)
-                return
-        evacuated = tuple(
-            sorted(
-                key.removeprefix(EVACUATION_PREFIX)
-                for key in self._items
-                if key.startswith(EVACUATION_PREFIX)
-            )
+        """Call `on_orders` with the orders in force.
+
+        Without any valid configuration, the orders come from other entries.
+        """
+        self._update_table()
+        if self._table is None and self._configuration is not None:
+            return
+        names = (
+            key.removeprefix(EVACUATION_PREFIX)
+            for key in self._items
+            if key.startswith(EVACUATION_PREFIX)
         )
-        self._on_orders(Orders(self._revision, table, evacuated))
+        evacuated = tuple(sorted(name for name in names if name))
+        self._on_orders(Orders(self._revision, self._table, evacuated))
+
+    def _update_table(self):
+        """Decode the configuration if it changed; keep the table if it is invalid."""
+        item = self._items.get(CONFIGURATION_KEY)
+        if item == self._configuration:
+            return
+        self._configuration = item
+        if item is None:
+            self._table = None
+            return
+        try:
+            self._table = wire.table_of(value_of(item))
+        except msgspec.DecodeError as error:
+            log.error("Failed to decode the configuration: {!r}.", error)
 
 
 def value_of(item):
@@ -265,7 +279,7 @@
     """
     try:
         return base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
+    except ValueError as error:
         raise msgspec.DecodeError(f"{item.key}: {error}") from error
 
 
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -30,7 +30,7 @@
     RunEnd,
     Step,
 )
-from ragwortlug.telemetry.logs import logger
+from ragwortlug.telemetry.logs import OnceLogger, logger
 from ragwortlug.timer import Timer
 
 PERCENT = 100.0
@@ -38,6 +38,7 @@
 PERCENT_COLUMN = 3
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 150
+MAX_LOGGED_BYTES = 200
 # How far the clock of another program may be ahead of the one of this process.
 MAX_CLOCK_LEAD_MS = 366 * 24 * 3_600_000
 
@@ -66,6 +67,7 @@
 }
 
 log = logger("wire")
+once_log = OnceLogger(log)
 
 
 class WireRoom(msgspec.Struct):
@@ -171,15 +173,34 @@
     removed: bool = False
 
 
-class WireItems(msgspec.Struct):
+class WirePage(msgspec.Struct):
     """Items of the store at the revision `as_of`."""
 
     as_of: Counter
-    items: list[WireItem] = []
-    events: list[WireItem] = []
+    items: list[msgspec.Raw] = []
+    events: list[msgspec.Raw] = []
     has_more: bool = False
 
 
+class WireKey(msgspec.Struct):
+    """The key of an item."""
+
+    key: str
+
+
+class WireItems(msgspec.Struct):
+    """The valid items of a page.
+
+    `last_key` is the key of the page's last item, after which the next page begins;
+    empty if there is no further page.
+    """
+
+    as_of: int
+    items: tuple[WireItem, ...] = ()
+    events: tuple[WireItem, ...] = ()
+    last_key: str = ""
+
+
 class WireLease(msgspec.Struct):
     """A lease that the store granted."""
 
@@ -199,7 +220,8 @@
 _clocks = JsonDecoder(WireClock)
 _configurations = JsonDecoder(WireConfiguration)
 _routes = JsonDecoder(WireRoute)
-_items = JsonDecoder(WireItems)
+_pages = JsonDecoder(WirePage)
+_keys = JsonDecoder(WireKey)
 _item = JsonDecoder(WireItem)
 _leases = JsonDecoder(WireLease)
 _records = JsonDecoder(WireRecord)
@@ -297,8 +319,15 @@
 
 
 def items_of(raw):
-    """Return the `WireItems` in a response of the store."""
-    return _items.decode(raw)
+    """Return the `WireItems` in a response of the store, without the invalid ones."""
+    page = _pages.decode(raw)
+    keys = _valid(_keys, page.items) if page.has_more else ()
+    return WireItems(
+        page.as_of,
+        _valid(_item, page.items),
+        _valid(_item, page.events),
+        keys[-1].key if keys else "",
+    )
 
 
 def item_of(raw):
@@ -317,6 +346,20 @@
     return report_of(record.id, bytes(record.report))
 
 
+def _valid(decoder, raw_items):
+    """Return the items that can be decoded; log each of the others once."""
+    items = []
+    for raw in raw_items:
+        try:
+            items.append(decoder.decode(raw))
+        except msgspec.DecodeError as error:
+            text = bytes(raw)[:MAX_LOGGED_BYTES]
+            once_log.warning(
+                text, "Skipped an invalid item of the store, {!r}: {}.", text, error
+            )
+    return tuple(items)
+
+
 def task_name(task):
     """Return the platform's task name, ``JOB.OCCURRENCE.STEP.INDEX``."""
     job_id, step, index = task
@@ -370,5 +413,8 @@
     try:
         return decode(row)
     except _BAD_ROW_ERRORS as error:
-        log.error("Skipped an invalid row of a worker's list, {!r}: {!r}.", row, error)
+        text = repr(row)[:MAX_LOGGED_BYTES]
+        once_log.warning(
+            text, "Skipped an invalid row of a worker's list, {}: {!r}.", text, error
+        )
         return None
--- a/ragwortlug/telemetry/logs.py
+++ b/ragwortlug/telemetry/logs.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+MAX_SUBJECTS = 1000
 TEXT_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} "
     "{record.channel}: {record.message}"
@@ -16,6 +17,31 @@
     return logbook.Logger(part)
 
 
+class OnceLogger:
+    """Logs one line for each subject, however often the subject is met.
+
+    Only the latest `MAX_SUBJECTS` subjects are remembered.
+
+    Parameters
+    ----------
+    log : logbook.Logger
+        Writes the lines.
+    """
+
+    def __init__(self, log):
+        self._log = log
+        self._subjects = {}
+
+    def warning(self, subject, message, *arguments):
+        """Log a warning if the subject is a new one."""
+        if subject in self._subjects:
+            return
+        if len(self._subjects) >= MAX_SUBJECTS:
+            del self._subjects[next(iter(self._subjects))]
+        self._subjects[subject] = None
+        self._log.warning(message, *arguments)
+
+
 def set_up(settings, process):
     """Configure this process to log to standard error.
 
