Check addresses, and send the messages behind one that can't be sent

Seen: a message to "garbage" raised ZMQError, each time anew, and the messages behind it in that turn were not sent; so did one that can't be encoded (a number over 64 bits, text that is no UTF-8). The library took a host name or port 99999 without a word. A message whose sender has no address was answered there. A worker's report with such an address, or an id that fits in no header, was taken. Cause: addresses were matched by their form only, with a line end allowed, and only in settings; `Peers._transmit` had no guard for one message. Fix: `parse_address` takes an IPv4 address and a port from 1 to 65535, and nothing behind it. Peers opens a connection to such an address only, rejects a message from any other, and drops and logs a message that can't be sent, once each kind.

--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -15,7 +15,8 @@
 from ragwortlug.codes import Code
 from ragwortlug.envelope import Envelope, Rejected
 from ragwortlug.errors import MessageError
-from ragwortlug.telemetry.logs import logger
+from ragwortlug.lease_settings import is_address
+from ragwortlug.telemetry.logs import OnceLogger, logger
 
 MAX_QUEUED_MESSAGES = 20_000
 IDLE_TIMEOUT_S = 60.0
@@ -35,6 +36,7 @@
 REPLY_PATH_TIMEOUT_S = 1.0
 
 log = logger("peers")
+once_log = OnceLogger(log)
 
 
 class Channel:
@@ -105,7 +107,11 @@
         for _ in range(MAX_READS_PER_TURN):
             if self.closed or not self._readable():
                 return
-            self._on_frames(self._socket.recv_multipart(zmq.NOBLOCK))
+            frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            try:
+                self._on_frames(frames)
+            except Exception:
+                log.exception("Failed to handle a received message.")
         self._schedule_read()
 
 
@@ -210,7 +216,7 @@
             return
         identity, data = frames
         try:
-            envelope = self._codec.decode(data)
+            envelope = self._decode(data)
         except MessageError as error:
             self._reject(identity, error)
             return
@@ -221,12 +227,19 @@
     def _on_dealer_frames(self, frames):
         """Handle a message on a connection that this process opened."""
         try:
-            envelope = self._codec.decode(frames[-1])
+            envelope = self._decode(frames[-1])
         except MessageError as error:
             self._count_rejected(error)
             return
         self._dispatch(envelope, len(frames[-1]))
 
+    def _decode(self, data):
+        """Return the envelope in `data`; raise `MessageError` if it is not valid."""
+        envelope = self._codec.decode(data)
+        if not is_address(envelope.sender.address):
+            raise MessageError(f"sender {envelope.sender.address!r} has no address")
+        return envelope
+
     def _dispatch(self, envelope, size):
         """Count and deliver a message, unless it is for another process."""
         if envelope.receiver_incarnation not in ("", self._own_peer.incarnation):
@@ -270,7 +283,22 @@
                 if receiver.incarnation in ("", self._own_peer.incarnation):
                     self._deliver(self._own_peer, body)
             else:
-                self._transmit_one(receiver, body)
+                self._transmit_and_log(receiver, body)
+
+    def _transmit_and_log(self, receiver, body):
+        """Write one message; drop and log one that can't be sent."""
+        try:
+            self._transmit_one(receiver, body)
+        except Exception as error:
+            kind = type(body).__name__
+            self._metrics.count("messages_unsent", kind)
+            once_log.warning(
+                (receiver.address, kind, type(error)),
+                "Dropped a message {} to {!r} that can't be sent: {!r}.",
+                kind,
+                receiver.address,
+                error,
+            )
 
     def _transmit_one(self, receiver, body):
         """Write one message to its receiver's connection."""
@@ -300,6 +328,8 @@
         now = self._timer.monotonic()
         connection = self._connections.get(address)
         if connection is None:
+            if not is_address(address):
+                raise MessageError(f"{address!r} is not tcp://IP:PORT")
             socket = self._context.socket(zmq.DEALER)
             socket.setsockopt(zmq.LINGER, 0)
             socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
--- a/ragwortlug/lease_settings.py
+++ b/ragwortlug/lease_settings.py
@@ -1,5 +1,6 @@
 """Settings of the programs that run restartable jobs, and shared definitions."""
 
+import functools
 import ipaddress
 import re
 from dataclasses import dataclass, field
@@ -7,8 +8,9 @@
 
 from ragwortlug.decoding import Count, Seconds, SecondsOrZero
 
-_ADDRESS = re.compile(r"^tcp://(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})$")
+_ADDRESS = re.compile(r"tcp://(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})")
 MAX_PORT = 65_535
+MAX_CHECKED_ADDRESSES = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,8 +141,18 @@
 
 
 def parse_address(text):
-    """Return the IP and port of an address ``tcp://IP:PORT``."""
-    match = _ADDRESS.match(text)
-    if match is None or int(match["port"]) > MAX_PORT:
+    """Return the IP and port of an address ``tcp://IP:PORT``, or raise `ValueError`."""
+    match = _ADDRESS.fullmatch(text)
+    if match is None or not 1 <= int(match["port"]) <= MAX_PORT:
         raise ValueError(f"{text!r} is not tcp://IP:PORT")
-    return str(ipaddress.ip_address(match["ip"])), int(match["port"])
+    return str(ipaddress.IPv4Address(match["ip"])), int(match["port"])
+
+
+@functools.lru_cache(MAX_CHECKED_ADDRESSES)
+def is_address(text):
+    """Return whether a text is an address ``tcp://IP:PORT``."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -4,6 +4,7 @@
 product's types.
 """
 
+import re
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -21,6 +22,7 @@
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import decode_body
 from ragwortlug.jobs.worker_calls import ListedRun, WorkerReport, WorkerSnapshot
+from ragwortlug.lease_settings import is_address
 from ragwortlug.restartable_model import (
     MAX_STEP_TASKS,
     Queue,
@@ -42,6 +44,8 @@
 # How far the clock of another program may be ahead of the one of this process.
 MAX_CLOCK_LEAD_MS = 366 * 24 * 3_600_000
 
+_WORKER_ID = re.compile(r"[!-~]{1,200}")
+
 # The sum of the sizes of all tasks of a job fits into 64 bits.
 Size = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -254,6 +258,10 @@
 def report_of(worker_id, raw):
     """Return the `WorkerReport` in a status report, or raise `RequestError`."""
     wire = decode_body(raw, _reports)
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise RequestError(f"{worker_id!r} is no worker's id", Code.BAD_FIELD)
+    if not is_address(f"tcp://{wire.address}"):
+        raise RequestError(f"{wire.address!r} is not IP:PORT", Code.BAD_FIELD)
     if wire.born > Timer.unix_ms() + MAX_CLOCK_LEAD_MS:
         raise RequestError(f"born in the future, at {wire.born}", Code.BAD_FIELD)
     return WorkerReport(
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -11,6 +11,7 @@
 from ragwortlug.decoding import JsonDecoder, MessagePackDecoder
 from ragwortlug.envelope import Envelope, Peer, Rejected
 from ragwortlug.errors import MessageError, RequestError, SettingsError
+from ragwortlug.lease_settings import is_address, parse_address
 from ragwortlug.model import Announcement
 from ragwortlug.platform import wire
 from ragwortlug.restartable_model import Queue
@@ -245,3 +246,46 @@
         row = [*self.GOOD[:3], percent]
         snapshot = wire.snapshot_of(encoded({"clock_ms": 1, "running": [row]}))
         assert snapshot.running[0].completed_fraction == 0.0
+
+
+ODD_ADDRESSES = [
+    "",
+    "garbage",
+    "10.0.0.9",
+    "10.0.0.9:",
+    "10.0.0.9:0",
+    "10.0.0.9:65536",
+    "10.0.0.9:99999",
+    "10.0.0.9:-1",
+    "10.0.0.9:7700\n",
+    "10.0.0.9:7700/path",
+    "10.0.0:7700",
+    "10.0.0.999:7700",
+    "host.example:7700",
+    "*:7700",
+    "10.0.0.9:\u0667\u0667",
+]
+
+
+class TestAddresses:
+    @pytest.mark.parametrize("text", ODD_ADDRESSES)
+    def test_an_odd_one_is_none(self, text):
+        with pytest.raises(ValueError, match=r"tcp://IP:PORT|[Oo]ctet"):
+            parse_address(f"tcp://{text}")
+        assert not is_address(f"tcp://{text}")
+
+    def test_a_good_one_is_one(self):
+        assert parse_address("tcp://10.0.0.9:65535") == ("10.0.0.9", 65_535)
+        assert is_address("tcp://10.0.0.9:65535")
+
+    @pytest.mark.parametrize("text", ODD_ADDRESSES)
+    def test_of_a_worker(self, text):
+        with pytest.raises(RequestError) as raised:
+            wire.report_of("i-1", encoded(REPORT | {"address": text}))
+        assert raised.value.code is Code.BAD_FIELD
+
+    @pytest.mark.parametrize("worker_id", ["", "i-1\n", "i 1", "i-\u00e9", "i" * 201])
+    def test_of_a_worker_with_an_odd_id(self, worker_id):
+        with pytest.raises(RequestError) as raised:
+            wire.report_of(worker_id, encoded(REPORT))
+        assert raised.value.code is Code.BAD_FIELD
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import logbook
 import pytest
+import zmq
 
-from ragwortlug.envelope import Peer
+from ragwortlug.envelope import Envelope, Peer
 from ragwortlug.io.peers import Peers
 from ragwortlug.messages import CODEC, Load
 from ragwortlug.telemetry.metrics import Metrics
@@ -90,3 +92,63 @@
                 await second.stop()
 
         asyncio.run(run())
+
+
+class TestOddMessages:
+    """A message that can't be sent or read costs itself only."""
+
+    ODD = [
+        (Peer("garbage"), Load(1)),
+        (Peer(""), Load(1)),
+        (Peer("tcp://host.example:7720"), Load(1)),
+        (Peer("tcp://127.13.0.2:99999"), Load(1)),
+        (Peer("tcp://127.13.0.2:0"), Load(1)),
+        (Peer(SECOND), Load(10**30)),
+        (Peer(SECOND), Load("\udcff")),
+        (Peer(SECOND), Load(object())),
+    ]
+
+    @pytest.mark.parametrize(("receiver", "body"), ODD)
+    def test_the_others_are_sent(self, receiver, body):
+        async def run():
+            first, second = End(FIRST, "first"), End(SECOND, "second")
+            await first.peers.start()
+            await second.peers.start()
+            try:
+                async with asyncio.timeout(LIMIT_S):
+                    for number in range(3):
+                        first.peers.send(receiver, body)
+                        first.peers.send(Peer(SECOND), Load(number))
+                    taken = [await second.taken.get() for _ in range(3)]
+            finally:
+                await first.stop()
+                await second.stop()
+            assert taken == [0, 1, 2]
+            assert first.metrics.counters["messages_unsent", "Load"] == 3
+
+        with logbook.TestHandler() as handler:
+            asyncio.run(run())
+        warnings = [each for each in handler.records if "can't be sent" in each.message]
+        assert len(warnings) == 1
+
+    @pytest.mark.parametrize("address", ["", "garbage", "tcp://127.0.0.1:99999"])
+    def test_a_sender_without_an_address_is_rejected(self, address):
+        async def run():
+            second = End(SECOND, "second")
+            await second.peers.start()
+            context = zmq.Context()
+            socket = context.socket(zmq.DEALER)
+            socket.connect(SECOND)
+            try:
+                for sender, number in ((address, 1), (FIRST, 2)):
+                    envelope = Envelope(Peer(sender, "x"), "", Load(number))
+                    socket.send(CODEC.encode(envelope))
+                async with asyncio.timeout(LIMIT_S):
+                    assert await second.taken.get() == 2
+            finally:
+                socket.close(0)
+                context.term()
+                await second.stop()
+            assert second.metrics.counters["messages_rejected", "500"] == 1
+
+        asyncio.run(run())
