Skip entries and members at invalid addresses

Seen: an invalid address that one entry named was kept, passed on to all entries and agents, and sent to every 0.5 s. Cause: `Gossip.add_addresses` took any text; a poll's member was put into the roster with any address. Evidence: test_gossip.py on the code before, 4 of 4 failed: "Left contains one more item: 'tcp://127.14.0.3:7720'" (the odd address among the receivers). The check of a poll's member has no test of its own yet. Fix: addresses are checked where they are learned; an invalid one is logged once.

--- a/ragwortlug/io/gossip.py
+++ b/ragwortlug/io/gossip.py
@@ -10,13 +10,17 @@
 from ragwortlug.envelope import Peer
 from ragwortlug.events import EventName
 from ragwortlug.lease_messages import EntryState
+from ragwortlug.lease_settings import is_address
 from ragwortlug.restartable_model import Orders
+from ragwortlug.telemetry.logs import OnceLogger, logger
 
 BROADCAST_INTERVAL_S = 0.5
 LIVE_TIMEOUT_S = 3.0
 FORGET_TIMEOUT_S = 60.0
 MS_PER_S = 1000.0
 
+once_log = OnceLogger(logger("gossip"))
+
 
 class Gossip:
     """Tracks the live entries and the newest orders.
@@ -71,9 +75,13 @@
 
     def add_addresses(self, addresses):
         """Add addresses at which other entries may listen."""
-        self._seeds |= {
-            address for address in addresses if address != self._own_address
-        }
+        for address in addresses:
+            if not is_address(address):
+                once_log.warning(
+                    address, "Skipped an entry at an invalid address: {!r}.", address
+                )
+            elif address != self._own_address:
+                self._seeds.add(address)
 
     def apply_orders(self, orders):
         """Apply orders if they are newer; return whether they were applied.
--- a/ragwortlug/io/registrar.py
+++ b/ragwortlug/io/registrar.py
@@ -20,8 +20,9 @@
 )
 from ragwortlug.io.etcd import ConditionalPut
 from ragwortlug.io.view_sync import possibly_live_peers
+from ragwortlug.lease_settings import is_address
 from ragwortlug.messages import Confirmation, News, Poll
-from ragwortlug.telemetry.logs import logger
+from ragwortlug.telemetry.logs import OnceLogger, logger
 from ragwortlug.view.note import Configuration, ReleaseNote, apply_note
 from ragwortlug.view.roster import Roster, apply_roster_change, describe_change
 from ragwortlug.view.view import Change
@@ -36,6 +37,7 @@
 POLLS_BEFORE_FIRST_ROSTER = 3
 
 log = logger("registrar")
+once_log = OnceLogger(log)
 
 
 @dataclass(frozen=True, slots=True)
@@ -405,6 +407,13 @@
 
     def _on_poll(self, sender, message):
         """Record the sender's heartbeat and answer with a `Confirmation`."""
+        if not is_address(message.member.address):
+            once_log.warning(
+                message.member.address,
+                "Skipped a member at an invalid address: {!r}.",
+                message.member.address,
+            )
+            return
         now = self._timer.monotonic()
         self._membership.on_heartbeat(
             message.member, now, message.leaving, message.handed_over
