Keep the records of entries and workers alive through any error

Seen: an odd key among the entries' records was handed out as an address. An error of a receiver of the addresses ended the task that renews an entry's record, or the one that looks for entries. An entry whose first write failed renewed a lease without a record for good, so agents could not find it in the store. Cause: the tasks caught two kinds of error; the lease was noted before the write. Fix: odd keys are skipped and logged once; the tasks log any error and go on; a lease is renewed only once the record is written under it, and the others are read until that succeeds.

--- a/ragwortlug/platform/records.py
+++ b/ragwortlug/platform/records.py
@@ -11,9 +11,10 @@
 
 from ragwortlug.actor import cancel_all
 from ragwortlug.errors import RequestError, StoreError
+from ragwortlug.lease_settings import is_address
 from ragwortlug.platform import wire
 from ragwortlug.platform.store import NoSuchLeaseError
-from ragwortlug.telemetry.logs import logger
+from ragwortlug.telemetry.logs import OnceLogger, logger
 
 ENTRY_PREFIX = "ragwortlug/entries/"
 WORKER_PREFIX = "ragwortlug/workers/"
@@ -24,6 +25,7 @@
 MAX_WRITE_ATTEMPTS = 5
 
 log = logger("records")
+once_log = OnceLogger(log)
 
 
 class EntryRecord:
@@ -54,15 +56,19 @@
         await cancel_all([self._task])
 
     async def _maintain(self):
-        """Write the record, then renew its lease; write it again after expiry."""
+        """Write the record, read the others and renew the lease; retry on errors."""
         lease = None
+        reads_others = True
         while True:
             try:
                 if lease is None:
-                    lease = await self._store.create_lease(ENTRY_TTL_MS)
-                    await self._write(lease)
+                    lease = await self._write()
+                    reads_others = True
                 else:
                     await self._store.renew_lease(lease)
+                if reads_others:
+                    self._gossip.add_addresses(await read_entry_addresses(self._store))
+                    reads_others = False
                 await asyncio.sleep(RENEWAL_INTERVAL_S)
             except NoSuchLeaseError as error:
                 log.info(
@@ -73,12 +79,16 @@
             except (StoreError, msgspec.DecodeError) as error:
                 log.info("Failed to write or renew the entry's record: {}.", error)
                 await asyncio.sleep(RETRY_INTERVAL_S)
+            except Exception:
+                log.exception("Unexpected error in the entry's record.")
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
-    async def _write(self, lease):
-        """Write the record and read those of the other entries."""
+    async def _write(self):
+        """Write the record under a new lease, and return the lease."""
+        lease = await self._store.create_lease(ENTRY_TTL_MS)
         key = ENTRY_PREFIX + self._address
         await self._store.put(key, self._address.encode(), lease)
-        self._gossip.add_addresses(await read_entry_addresses(self._store))
+        return lease
 
 
 class WorkerRecord:
@@ -155,6 +165,8 @@
                 self._runner.add_addresses(await read_entry_addresses(self._store))
             except (StoreError, msgspec.DecodeError) as error:
                 log.info("Failed to read the entries' records: {}.", error)
+            except Exception:
+                log.exception("Unexpected error with the entries' records.")
             await asyncio.sleep(ENTRY_SILENCE_S)
             while self._hears_entries():
                 await asyncio.sleep(ENTRY_SILENCE_S)
@@ -168,4 +180,11 @@
 async def read_entry_addresses(store):
     """Return a list of the addresses of the entries that are in the store."""
     items, _ = await store.items(ENTRY_PREFIX)
-    return [key.removeprefix(ENTRY_PREFIX) for key in items]
+    addresses = []
+    for key in items:
+        address = key.removeprefix(ENTRY_PREFIX)
+        if is_address(address):
+            addresses.append(address)
+        else:
+            once_log.warning(key, "Skipped the record of an entry at {!r}.", address)
+    return addresses
