Answer and log requests whose headers are not UTF-8

Seen: a job with such a `Request-Id` ran to its end and was then answered 500; one with such a `Host` was answered 500 in place of 404. A log line or event with such text, or with a field that JSON can't hold, raised where it was written.

--- a/ragwortlug/io/http.py
+++ b/ragwortlug/io/http.py
@@ -35,7 +35,8 @@
         "meaning": code.meaning,
     }
     if detail:
-        body["detail"] = detail
+        # Text of a header may hold bytes that are not UTF-8.
+        body["detail"] = detail.encode(errors="replace").decode()
     if reasons:
         body["reasons"] = list(reasons)
     return body
--- a/ragwortlug/telemetry/journal.py
+++ b/ragwortlug/telemetry/journal.py
@@ -5,6 +5,7 @@
 lines are counted, and a separate event reports the counts.
 """
 
+import json
 import sys
 import threading
 import time
@@ -26,6 +27,16 @@
 _encoder = msgspec.json.Encoder()
 
 
+def _encode_line(fields):
+    """Return fields as a line of JSON; what JSON can't hold is written as text."""
+    try:
+        return _encoder.encode(fields) + b"\n"
+    except (UnicodeEncodeError, TypeError, ValueError):
+        # Text of a header may hold bytes that are not UTF-8.
+        text = json.dumps(fields, default=repr, ensure_ascii=False)
+        return text.encode(errors="replace") + b"\n"
+
+
 class TokenBucket:
     """Limits a rate, and allows bursts of up to `BURST_S` seconds of it."""
 
@@ -104,7 +115,7 @@
         if record.exc_info:
             fields["exception"] = record.formatted_exception
         header = {"time": time.time(), "process": self._process, "event": "log"}
-        self._enqueue(_encoder.encode({**header, **fields}) + b"\n", "log")
+        self._enqueue(_encode_line({**header, **fields}), "log")
 
     def close(self):
         """Write the queued lines, waiting at most `CLOSE_TIMEOUT_S`."""
@@ -123,7 +134,7 @@
         }
         if event.job_id:
             header["job"] = event.job_id
-        return _encoder.encode({**header, **event.fields}) + b"\n"
+        return _encode_line({**header, **event.fields})
 
     def _report_dropped(self, now):
         """Queue an event with the counts of dropped lines, and reset them."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,6 +4,8 @@
 import json
 import os
 
+import pytest
+
 from ragwortlug.events import Event, EventName
 from ragwortlug.telemetry.journal import IMPORTANT_RATE_PER_S, MAX_QUEUED_LINES, Journal
 
@@ -31,6 +33,15 @@
         assert line["code"] == "QUEUE_FULL"
         assert line["process"] == "entry 1"
 
+    @pytest.mark.parametrize("odd", ["\udcff", 10**400, object(), float("nan")])
+    def test_a_field_that_json_cannot_hold_costs_no_line(self, odd):
+        stream = io.BytesIO()
+        journal = Journal("entry 1", stream)
+        journal.write_event(EventName.JOB_REFUSED, "a", why=odd)
+        journal.write_event(EventName.JOB_REFUSED, "b")
+        journal.close()
+        assert [each["job"] for each in lines(stream)] == ["a", "b"]
+
     def test_one_event_does_not_drown_the_others(self):
         stream = io.BytesIO()
         journal = Journal("entry 1", stream)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -192,6 +192,18 @@
             raw = await reply.read()
             return reply.status, json.loads(raw) if raw else {}
 
+    async def send(self, *headers, entry=0):
+        """Hand a job in with raw header lines; return the bytes of the answer."""
+        reader, writer = await asyncio.open_connection(HOST, self._fronts[entry])
+        length = f"Content-Length: {len(ONE_TASK)}".encode()
+        lines = [f"POST /p/{JOB} HTTP/1.1".encode(), *headers, length]
+        writer.write(b"\r\n".join([*lines, b"", ONE_TASK.encode()]))
+        try:
+            async with asyncio.timeout(20.0):
+                return await reader.readuntil(b"}")
+        finally:
+            writer.close()
+
     async def get(self, url):
         """Return the status of a GET."""
         async with (
@@ -382,6 +394,7 @@
         on_site(scenario)
 
 
+ONE_TASK = '{"spec":"0.05","best_effort":true,"steps":[{"count":1,"cpu":1}]}'
 HUGE = '{"spec":"1","best_effort":true,"steps":[{"count":1,"cpu":100000}]}'
 
 
@@ -412,6 +425,33 @@
 
         on_site(scenario)
 
+    @pytest.mark.parametrize(
+        ("header", "status"),
+        [
+            (b"Request-Id: \xff", b"200"),
+            (b"Request-Id: " + b"\xed\xa0\x80", b"200"),
+            (b"Deadline-Ms: \xff", b"400"),
+            (b"Deadline-Ms: " + b"9" * 5000, b"400"),
+            (b"Deadline-Ms: " + b"9" * 400, b"200"),
+            (b"Deadline-Ms: NaN", b"400"),
+        ],
+    )
+    def test_of_clients_in_a_header(self, on_site, header, status):
+        async def scenario(site):
+            answer = await site.send(b"Host: a.example", header)
+            assert answer.split(b" ")[1] == status
+            assert (await site.submit(JOB[::-1]))[0] == 200
+
+        on_site(scenario)
+
+    def test_of_clients_in_the_host(self, on_site):
+        async def scenario(site):
+            answer = await site.send(b"Host: \xff\xfe")
+            assert answer.split(b" ")[1] == b"404"
+            assert b"NO_SUCH_PATH" in answer
+
+        on_site(scenario)
+
     def test_of_workers(self, on_site):
         async def scenario(site):
             url = site.report_url(0)
