--- a/ragwortlug/io/http.py
+++ b/ragwortlug/io/http.py
@@ -35,7 +35,8 @@
         "meaning": code.meaning,
     }
     if detail:
-        body["detail"] = detail
+        # Text of a header may hold bytes that are not UTF-8.
+        body["detail"] = detail.encode(errors="replace").decode()
     if reasons:
         body["reasons"] = list(reasons)
     return body
@@ -64,7 +65,7 @@
         return decoder.decode(raw)
     except msgspec.ValidationError as error:
         raise RequestError(str(error), Code.BAD_FIELD) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise RequestError(str(error), Code.BAD_JSON) from error
 
 
--- a/ragwortlug/io/registrar.py
+++ b/ragwortlug/io/registrar.py
@@ -11,6 +11,7 @@
 
 from ragwortlug.actor import cancel_all
 from ragwortlug.codes import Code
+from ragwortlug.decoding import JsonDecoder
 from ragwortlug.errors import (
     NoteError,
     RagwortlugError,
@@ -19,8 +20,9 @@
 )
 from ragwortlug.io.etcd import ConditionalPut
 from ragwortlug.io.view_sync import possibly_live_peers
+from ragwortlug.lease_settings import is_address
 from ragwortlug.messages import Confirmation, News, Poll
-from ragwortlug.telemetry.logs import logger
+from ragwortlug.telemetry.logs import OnceLogger, logger
 from ragwortlug.view.note import Configuration, ReleaseNote, apply_note
 from ragwortlug.view.roster import Roster, apply_roster_change, describe_change
 from ragwortlug.view.view import Change
@@ -35,6 +37,7 @@
 POLLS_BEFORE_FIRST_ROSTER = 3
 
 log = logger("registrar")
+once_log = OnceLogger(log)
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +48,9 @@
     note: ReleaseNote
 
 
+_note_decoder = JsonDecoder(AcceptedNote)
+
+
 @dataclass(frozen=True, slots=True)
 class NoteResult:
     """The result of submitting a release note."""
@@ -145,7 +151,7 @@
     async def history(self):
         """Return all `AcceptedNote`, oldest first."""
         values = await self._store.list(NOTE_KEYS)
-        notes = [msgspec.json.decode(value, type=AcceptedNote) for value in values]
+        notes = [_note_decoder.decode(value) for value in values]
         return sorted(notes, key=lambda accepted: accepted.version)
 
     async def accepted(self, note_id):
@@ -153,7 +159,7 @@
         stored = await self._store.get(NOTE_KEYS + note_id)
         if not stored.revision:
             return None
-        return msgspec.json.decode(stored.value, type=AcceptedNote)
+        return _note_decoder.decode(stored.value)
 
     def lagging_members(self, version):
         """Return the names of processes that may not yet apply a version.
@@ -288,7 +294,7 @@
     async def _read_key(self, key, kind):
         """Return the decoded value of a key and record its revision."""
         stored = await self._store.get(key)
-        value = msgspec.json.decode(stored.value, type=kind)
+        value = JsonDecoder(kind).decode(stored.value)
         self._revisions[key] = stored.revision
         return value
 
@@ -401,6 +407,13 @@
 
     def _on_poll(self, sender, message):
         """Record the sender's heartbeat and answer with a `Confirmation`."""
+        if not is_address(message.member.address):
+            once_log.warning(
+                message.member.address,
+                "Skipped a member at an invalid address: {!r}.",
+                message.member.address,
+            )
+            return
         now = self._timer.monotonic()
         self._membership.on_heartbeat(
             message.member, now, message.leaving, message.handed_over
--- a/ragwortlug/lease_settings.py
+++ b/ragwortlug/lease_settings.py
@@ -1,17 +1,16 @@
 """Settings of the programs that run restartable jobs, and shared definitions."""
 
+import functools
 import ipaddress
 import re
 from dataclasses import dataclass, field
-from typing import Annotated, Literal
+from typing import Literal
 
-import msgspec
+from ragwortlug.decoding import Count, Seconds, SecondsOrZero
 
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
-
-_ADDRESS = re.compile(r"^tcp://(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})$")
+_ADDRESS = re.compile(r"tcp://(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})")
 MAX_PORT = 65_535
+MAX_CHECKED_ADDRESSES = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +132,7 @@
     """
 
     ready: str
-    drain_s: Annotated[float, msgspec.Meta(ge=0)] = 2.3
+    drain_s: SecondsOrZero = 2.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,8 +141,18 @@
 
 
 def parse_address(text):
-    """Return the IP and port of an address ``tcp://IP:PORT``."""
-    match = _ADDRESS.match(text)
-    if match is None or int(match["port"]) > MAX_PORT:
+    """Return the IP and port of an address ``tcp://IP:PORT``, or raise `ValueError`."""
+    match = _ADDRESS.fullmatch(text)
+    if match is None or not 1 <= int(match["port"]) <= MAX_PORT:
         raise ValueError(f"{text!r} is not tcp://IP:PORT")
-    return str(ipaddress.ip_address(match["ip"])), int(match["port"])
+    return str(ipaddress.IPv4Address(match["ip"])), int(match["port"])
+
+
+@functools.lru_cache(MAX_CHECKED_ADDRESSES)
+def is_address(text):
+    """Return whether a text is an address ``tcp://IP:PORT``."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -4,11 +4,21 @@
 product's types.
 """
 
+import re
 from typing import Annotated, Any, Literal
 
 import msgspec
 
 from ragwortlug.codes import Code
+from ragwortlug.decoding import (
+    MAX_COUNT,
+    MAX_WHOLE,
+    Counter,
+    Factor,
+    JsonDecoder,
+    Natural,
+    Whole,
+)
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import decode_body
 from ragwortlug.jobs.worker_calls import (
@@ -17,6 +27,7 @@
     WorkerReport,
     WorkerSnapshot,
 )
+from ragwortlug.lease_settings import is_address
 from ragwortlug.restartable_model import (
     MAX_STEP_TASKS,
     Queue,
@@ -26,15 +37,33 @@
     RunEnd,
     Step,
 )
-from ragwortlug.telemetry.logs import logger
-
-Natural = Annotated[int, msgspec.Meta(ge=0)]
-Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+from ragwortlug.telemetry.logs import OnceLogger, logger
+from ragwortlug.timer import Timer
 
 PERCENT = 100.0
+# Index of the percentage in a row of `running`.
+PERCENT_COLUMN = 3
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 150
+MAX_LOGGED_BYTES = 200
+# How far the clock of another program may be ahead of the one of this process.
+MAX_CLOCK_LEAD_MS = 366 * 24 * 3_600_000
+
+_WORKER_ID = re.compile(r"[!-~]{1,200}")
+
+# The sum of the sizes of all tasks of a job fits into 64 bits.
+Size = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+# What a row of a worker's list raises that is not as it should be.
+_BAD_ROW_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 # The end of a run by the value of `how` in a worker's `finished` list.
 _RUN_END_BY_HOW = {
@@ -47,23 +76,24 @@
 }
 
 log = logger("wire")
+once_log = OnceLogger(log)
 
 
 class WireRoom(msgspec.Struct):
     """Resources: thousandths of a core, megabytes of memory, and accelerators."""
 
-    cpu: Natural = 0
-    mem_mb: Natural = 0
-    gpu: Natural = 0
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
 
 
 class WireStep(msgspec.Struct):
     """A step of a job; absent fields default to 0, false or empty."""
 
     count: Annotated[int, msgspec.Meta(ge=1, le=MAX_STEP_TASKS)]
-    cpu: Natural = 0
-    mem_mb: Natural = 0
-    gpu: Natural = 0
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
     estimate_ms: Natural = 0
     after: list[Natural] = []
     requires: str = ""
@@ -88,9 +118,9 @@
     zone: Text
     state: Literal["ready", "draining"]
     capacity: WireRoom
-    clock_ms: int
+    clock_ms: Natural
     sequence: Natural
-    born: int
+    born: Natural
     labels: list[str] = []
     remaining_ms: Natural = 0
 
@@ -98,15 +128,15 @@
 class WireClock(msgspec.Struct):
     """Fields of every worker response; `clock_ms` is its monotonic clock."""
 
-    clock_ms: Milliseconds
+    clock_ms: Natural
     reason: str = ""
-    born: Milliseconds = 0
+    born: Natural = 0
 
 
 class WireDeparture(msgspec.Struct):
     """A worker's notice that it shuts down."""
 
-    born: Milliseconds = 0
+    born: Natural = 0
 
 
 class WireLists(msgspec.Struct):
@@ -116,10 +146,10 @@
     use; a row of `finished` holds number, task, run, how and checkpoint.
     """
 
-    clock_ms: Milliseconds
+    clock_ms: Natural
     running: list[Any] = []
     finished: list[Any] = []
-    born: Milliseconds = 0
+    born: Natural = 0
 
 
 class WireRoute(msgspec.Struct):
@@ -129,23 +159,23 @@
     host: Text
     prefix: Text
     service: Text
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: int = 0
-    timeout_ms: int = 0
+    priority: Whole = 0
+    max_attempts: Whole = 1
+    stretch: Factor = 1.0
+    slo_ms: Natural = 0
+    timeout_ms: Natural = 0
 
 
 class WireLimits(msgspec.Struct):
     """Limits on requests."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Natural = 262_144
 
 
 class WireConfiguration(msgspec.Struct):
     """A version of the configuration."""
 
-    version: int
+    version: Counter
     routes: list[msgspec.Raw] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
@@ -154,24 +184,43 @@
     """The value of a key in the store, or the removal of the key."""
 
     key: str
-    revision: int = 0
+    revision: Counter = 0
     value: str = ""
     removed: bool = False
 
 
-class WireItems(msgspec.Struct):
+class WirePage(msgspec.Struct):
     """Items of the store at the revision `as_of`."""
 
-    as_of: int
-    items: list[WireItem] = []
-    events: list[WireItem] = []
+    as_of: Counter
+    items: list[msgspec.Raw] = []
+    events: list[msgspec.Raw] = []
     has_more: bool = False
 
 
+class WireKey(msgspec.Struct):
+    """The key of an item."""
+
+    key: str
+
+
+class WireItems(msgspec.Struct):
+    """The valid items of a page.
+
+    `last_key` is the key of the page's last item, after which the next page begins;
+    empty if there is no further page.
+    """
+
+    as_of: int
+    items: tuple[WireItem, ...] = ()
+    events: tuple[WireItem, ...] = ()
+    last_key: str = ""
+
+
 class WireLease(msgspec.Struct):
     """A lease that the store granted."""
 
-    lease: int
+    lease: Counter
 
 
 class WireRecord(msgspec.Struct):
@@ -181,17 +230,18 @@
     report: msgspec.Raw
 
 
-_jobs = msgspec.json.Decoder(WireJob)
-_reports = msgspec.json.Decoder(WireReport)
-_lists = msgspec.json.Decoder(WireLists)
-_departures = msgspec.json.Decoder(WireDeparture)
-_clocks = msgspec.json.Decoder(WireClock)
-_configurations = msgspec.json.Decoder(WireConfiguration)
-_routes = msgspec.json.Decoder(WireRoute)
-_items = msgspec.json.Decoder(WireItems)
-_item = msgspec.json.Decoder(WireItem)
-_leases = msgspec.json.Decoder(WireLease)
-_records = msgspec.json.Decoder(WireRecord)
+_jobs = JsonDecoder(WireJob)
+_reports = JsonDecoder(WireReport)
+_lists = JsonDecoder(WireLists)
+_departures = JsonDecoder(WireDeparture)
+_clocks = JsonDecoder(WireClock)
+_configurations = JsonDecoder(WireConfiguration)
+_routes = JsonDecoder(WireRoute)
+_pages = JsonDecoder(WirePage)
+_keys = JsonDecoder(WireKey)
+_item = JsonDecoder(WireItem)
+_leases = JsonDecoder(WireLease)
+_records = JsonDecoder(WireRecord)
 
 
 def job_of(job_id, raw):
@@ -220,10 +270,13 @@
 
 def report_of(worker_id, raw):
     """Return the `WorkerReport` in a status report, or raise `RequestError`."""
-    try:
-        wire = _reports.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RequestError(str(error), Code.BAD_FIELD) from error
+    wire = decode_body(raw, _reports)
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise RequestError(f"{worker_id!r} is no worker's id", Code.BAD_FIELD)
+    if not is_address(f"tcp://{wire.address}"):
+        raise RequestError(f"{wire.address!r} is not IP:PORT", Code.BAD_FIELD)
+    if wire.born > Timer.unix_ms() + MAX_CLOCK_LEAD_MS:
+        raise RequestError(f"born in the future, at {wire.born}", Code.BAD_FIELD)
     return WorkerReport(
         worker_id,
         wire.born,
@@ -247,10 +300,7 @@
     msgspec.DecodeError
         The response is no snapshot.
     """
-    try:
-        wire = _lists.decode(raw)
-    except (UnicodeDecodeError, RecursionError) as error:
-        raise msgspec.DecodeError(str(error)) from error
+    wire = _lists.decode(raw)
     running = [_row_or_none(_running_row, row) for row in wire.running]
     ended = [_row_or_none(_ended_row, row) for row in wire.finished]
     return WorkerSnapshot(
@@ -268,7 +318,7 @@
         return 0
     try:
         return _departures.decode(raw).born
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         log.warning("Failed to decode a worker's notice of shutdown: {}.", error)
         return 0
 
@@ -277,7 +327,7 @@
     """Return the `WorkerClock` in a response, None if invalid, and its reason."""
     try:
         wire = _clocks.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         log.error("Failed to decode a worker's answer: {}.", error)
         return None, ""
     return WorkerClock(wire.clock_ms, wire.born), wire.reason
@@ -312,8 +362,15 @@
 
 
 def items_of(raw):
-    """Return the `WireItems` in a response of the store."""
-    return _items.decode(raw)
+    """Return the `WireItems` in a response of the store, without the invalid ones."""
+    page = _pages.decode(raw)
+    keys = _valid(_keys, page.items) if page.has_more else ()
+    return WireItems(
+        page.as_of,
+        _valid(_item, page.items),
+        _valid(_item, page.events),
+        keys[-1].key if keys else "",
+    )
 
 
 def item_of(raw):
@@ -328,10 +385,24 @@
 
 def recalled_of(raw):
     """Return the `WorkerReport` in an agent's record, or raise `RequestError`."""
-    record = _records.decode(raw)
+    record = decode_body(raw, _records)
     return report_of(record.id, bytes(record.report))
 
 
+def _valid(decoder, raw_items):
+    """Return the items that can be decoded; log each of the others once."""
+    items = []
+    for raw in raw_items:
+        try:
+            items.append(decoder.decode(raw))
+        except msgspec.DecodeError as error:
+            text = bytes(raw)[:MAX_LOGGED_BYTES]
+            once_log.warning(
+                text, "Skipped an invalid item of the store, {!r}: {}.", text, error
+            )
+    return tuple(items)
+
+
 def task_name(task):
     """Return the platform's task name, ``JOB.OCCURRENCE.STEP.INDEX``."""
     job_id, step, index = task
@@ -341,32 +412,52 @@
 def _task_of(name):
     """Return the job id, step and index in a task name."""
     job_id, _, step, index = name.split(".")
-    return (job_id, int(step), int(index))
+    return (job_id, _number(step), _number(index))
 
 
 def _running_row(row):
     """Return the `ListedRun` in a row of `running`."""
-    return ListedRun(_task_of(row[0]), int(row[1]), float(row[3]) / PERCENT)
+    percent = row[PERCENT_COLUMN] if len(row) > PERCENT_COLUMN else None
+    return ListedRun(_task_of(row[0]), _number(row[1]), _fraction(percent))
 
 
 def _ended_row(row):
     """Return the `ListedRun` in a row of `finished`."""
     return ListedRun(
-        _task_of(row[1]), int(row[2]), number=int(row[0]), end=_RUN_END_BY_HOW[row[3]]
+        _task_of(row[1]),
+        _number(row[2]),
+        number=_number(row[0]),
+        end=_RUN_END_BY_HOW[row[3]],
     )
 
 
+def _number(value):
+    """Return a number that a worker counts, or raise `ValueError`."""
+    number = int(value)
+    if not 0 <= number <= MAX_WHOLE:
+        raise ValueError(f"{number} is out of range")
+    return number
+
+
+def _fraction(percent):
+    """Return the completed fraction of a run; 0 if the worker gives no percentage.
+
+    The run counts as listed even then: it may be in progress.
+    """
+    try:
+        fraction = float(percent) / PERCENT
+    except (TypeError, ValueError, OverflowError):
+        return 0.0
+    return fraction if 0.0 <= fraction <= 1.0 else 0.0
+
+
 def _row_or_none(decode, row):
     """Return the decoded row, or None if the row is invalid."""
     try:
         return decode(row)
-    except (
-        ArithmeticError,
-        AttributeError,
-        IndexError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as error:
-        log.error("Skipped an invalid row of a worker's list, {!r}: {!r}.", row, error)
+    except _BAD_ROW_ERRORS as error:
+        text = repr(row)[:MAX_LOGGED_BYTES]
+        once_log.warning(
+            text, "Skipped an invalid row of a worker's list, {}: {!r}.", text, error
+        )
         return None
