--- a/standins/platform.py
+++ b/standins/platform.py
@@ -151,7 +151,7 @@
                 self._write(item["key"], item["value"])
             self._changed.notify_all()
         if self.drop_replies:
-            request.transport.abort()
+            _abort(request)
         return web.json_response({"revision": self._revision})
 
     async def _create_lease(self, request):
@@ -400,7 +400,7 @@
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, execute_later)
         await asyncio.sleep(delay_s)
-        request.transport.abort()
+        _abort(request)
         raise web.HTTPServiceUnavailable
 
     async def _start(self, request):
@@ -500,7 +500,7 @@
     def _check_instance(self, request):
         """Refuse a call that is meant for another instance, or for none any more."""
         if not self.is_up:
-            request.transport.abort()
+            _abort(request)
         if request.headers.get("Expect-Instance", self.id) != self.id:
             raise web.HTTPMisdirectedRequest
 
@@ -552,6 +552,12 @@
         return web.json_response(body, status=409)
 
 
+def _abort(request):
+    """Reset the connection of a request, unless it has closed."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 async def _after(delay_s, coroutine):
     """Await a coroutine after a delay."""
     await asyncio.sleep(delay_s)
