--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -17,7 +17,7 @@
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs import dispatch_events as events
-from ragwortlug.jobs.request_answer import RequestAnswer
+from ragwortlug.jobs.request_answer import RequestAnswer, default_retry_after_s
 from ragwortlug.jobs.restartable import RestartableRecord
 from ragwortlug.jobs.risky_jobs import RiskyJobs
 from ragwortlug.jobs.run_assigner import RunAssigner
@@ -32,8 +32,6 @@
 from ragwortlug.restartable_model import Orders, RunEnd
 
 MS_PER_S = 1000.0
-RETRY_AFTER_S = 1
-HTTP_UNAVAILABLE = 503
 
 
 class Dispatcher:
@@ -179,7 +177,7 @@
         fields = (fields or {}) | {"code": code.name, "elapsed_ms": 0}
         return [
             Event(EventName.JOB_REFUSED, job_id, fields),
-            RequestAnswer(request_id, job_id, code, _retry_after_s(code)),
+            RequestAnswer(request_id, job_id, code, default_retry_after_s(code)),
         ]
 
     def cancel(self, request_id, job_id, now):
@@ -444,7 +442,7 @@
                 not record.begun or code is Code.CANCELLED,
             )
         if retry_after_s is None:
-            retry_after_s = _retry_after_s(code)
+            retry_after_s = default_retry_after_s(code)
         answers = [
             self._shared_jobs.answer(request_id, record.job.id, code, retry_after_s)
             for request_id in record.requests
@@ -496,8 +494,3 @@
             return False
         record, _ = assignment
         return self._records.get(record.job.id) is record
-
-
-def _retry_after_s(code):
-    """Return the seconds after which a caller may retry; 0 if it must not."""
-    return RETRY_AFTER_S if code.http_status == HTTP_UNAVAILABLE else 0
