Move the ends of runs and their reports out of the leased runner

An ambiguous answer to a start is no longer logged as run_unsure, which says that the worker did not answer.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -13,8 +13,7 @@
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
-from ragwortlug.jobs.crash_log import CrashLog
-from ragwortlug.jobs.ended_runs import EndedRuns, EndProof
+from ragwortlug.jobs.ended_runs import EndProof
 from ragwortlug.jobs.local_runs import (
     LocalRun,
     Phase,
@@ -22,9 +21,9 @@
     event_of,
     late_runs,
     may_reach,
-    worker_crashed,
 )
 from ragwortlug.jobs.permissions import Permissions
+from ragwortlug.jobs.run_ends import RunEnds
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
     RequestSnapshot,
@@ -63,9 +62,8 @@
         # Dispatchers whose latest report left out resources that were on offer, as
         # keys, so that their order does not depend on hashes.
         self._uninformed = {}
-        self._crash_log = CrashLog()
         self._latest_snapshot_requested_at = 0.0
-        self._ended_runs = EndedRuns()
+        self._run_ends = RunEnds(self._runs, self._unreserved)
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
         # The latest report of a boot that was replaced, and when it was first missed,
@@ -310,6 +308,7 @@
                 if (local_run.task, local_run.run.attempt) not in listed
             ]
             effects += self._end_as_crashed(former_runs, EndProof.REPLACED, now)
+        ends = []
         for key, local_run in tuple(self._runs.items()):
             acknowledged = (
                 local_run.acknowledged_at is not None
@@ -326,8 +325,8 @@
             if acknowledged:
                 started = local_run.phase is Phase.RUNNING or local_run.stopped
                 end = RunEnd.LOST if started else RunEnd.NOT_STARTED
-                effects += self._end_run(key, end, EndProof.NOT_LISTED, now)
-        return effects
+                ends.append((key, end))
+        return effects + self._run_ends.end(ends, EndProof.NOT_LISTED, now)
 
     def on_snapshot_failed(self, boot, refused, now):
         """Handle a snapshot request that a boot of the worker did not answer.
@@ -367,8 +366,11 @@
         fields["token"] = self._lease.fencing_token
         self._lease.raise_token(self._lease.fencing_token + 1)
         expired = Event(EventName.LEASE_EXPIRED, "", fields)
-        end = self._end_as_crashed if crashed else self._end_as_lost
-        return [expired, *end(keys, EndProof.LEASE_EXPIRED, now)]
+        proof = EndProof.LEASE_EXPIRED
+        if crashed:
+            return [expired, *self._end_as_crashed(keys, proof, now)]
+        self._permissions.withdraw()
+        return [expired, *self._run_ends.end_as_lost(keys, proof, now)]
 
     def on_start_answered(self, key, answer, now, clock=None):
         """Handle the worker's answer to a command to start a run.
@@ -391,12 +393,12 @@
             if local_run.phase is Phase.STARTING:
                 local_run.phase = Phase.UNACKNOWLEDGED
                 local_run.unacknowledged_since = now
-            unacknowledged = event_of(EventName.RUN_UNSURE, local_run)
-            return [unacknowledged, RequestSnapshot()]
+            unsure = [] if started else [event_of(EventName.RUN_UNSURE, local_run)]
+            return [*unsure, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
             return self._on_replaced(None, now)
-        effects = self._end_run(key, end, EndProof.NOT_STARTED, now)
+        effects = self._run_ends.end([(key, end)], EndProof.NOT_STARTED, now)
         return self._offer_then_report(effects, now)
 
     def on_stop_answered(self, task, attempt, answered, now):
@@ -420,7 +422,7 @@
         """Handle a dispatcher's renewal of its permission."""
         is_new = self._permissions.expires_at(sender.incarnation) is None
         self._permissions.on_renewed(sender, message.requested_at_ms)
-        reports = self._crash_log.reports(now) if is_new else ()
+        reports = self._run_ends.crash_reports(now) if is_new else ()
         return [Send(sender, report) for report in reports]
 
     def on_start_runs(self, sender, message, now):
@@ -479,7 +481,7 @@
             key = (sender.incarnation, number)
             local_run = self._runs.get(key)
             if local_run is None:
-                ends.append((number, *self._ended_runs.end_or_refuse(key)))
+                ends.append((number, *self._run_ends.end_or_refuse(key)))
             elif not local_run.stopped:
                 effects.append(
                     event_of(EventName.RUN_STOPPED, local_run, why="ordered")
@@ -563,7 +565,7 @@
         """Return the end to report for a run that must not start, or None."""
         if not permitted or not self.accepting:
             return RunEnd.NO_RESOURCES
-        if key in self._ended_runs:
+        if key in self._run_ends:
             return RunEnd.NOT_STARTED
         task = (run.job_id, run.step, run.index)
         if any(local_run.task == task for local_run in self._runs.values()):
@@ -613,15 +615,15 @@
 
     def _record_ends(self, rows, by_run, now):
         """Record the ends that the worker lists; return messages that report them."""
-        effects = []
+        ends = {}
         for row in rows:
             if row.number <= self._last_end_number:
                 continue
             self._last_end_number = row.number
             key = by_run.get((row.task, row.attempt))
-            if key is not None and key in self._runs:
-                effects += self._end_run(key, row.end, EndProof.LISTED, now)
-        return _merge_ends(effects)
+            if key is not None:
+                ends.setdefault(key, row.end)
+        return self._run_ends.end(ends.items(), EndProof.LISTED, now)
 
     def _record_running(self, rows, by_run, now):
         """Record the listed runs; stop those that this agent did not start."""
@@ -639,7 +641,7 @@
                     "attempt": row.attempt,
                     "token": self._lease.fencing_token,
                 }
-                fields |= self._ended_runs.describe(row.task, row.attempt, now)
+                fields |= self._run_ends.describe(row.task, row.attempt, now)
                 effects.append(Event(EventName.RUN_FOREIGN, row.task[0], fields))
                 effects.append(self._stop_command(row.task, row.attempt))
                 continue
@@ -659,16 +661,6 @@
         reports = [Send(receiver, Progress(runs)) for receiver, runs in rows.items()]
         return effects + reports
 
-    def _end_run(self, key, end, proof, now):
-        """Remove a run that has ended and return the message that reports it."""
-        local_run = self._runs.pop(key)
-        run_ms = (now - local_run.started_at) * MS_PER_S
-        if end is RunEnd.STOPPED and not local_run.stopped:
-            end = RunEnd.LOST
-        self._ended_runs.add(key, local_run, end, run_ms, proof, now)
-        message = RunsEnded(((key[1], end, run_ms),), self._unreserved())
-        return [Send(local_run.dispatcher, message)]
-
     def _adopt(self, local_run):
         """Go on with a run that a later boot carried out; return the effects."""
         effects = [event_of(EventName.RUN_ADOPTED, local_run)]
@@ -682,35 +674,16 @@
         return now if failing_since is None else failing_since
 
     def _end_as_crashed(self, keys, proof, now):
-        """End runs as lost after their worker has ended without notice.
-
-        A draining worker has announced its end, which also ends its runs.
-        """
+        """End runs as lost after their worker has ended without notice."""
         former, crashed_at = self._replaced_boot or (
             self._worker,
             self._failing_since(now),
         )
         self._replaced_boot = None
-        if not keys or former.draining:
-            return self._end_as_lost(keys, proof, now)
-        runs = [self._runs[key] for key in keys]
-        crashed = worker_crashed(former, runs, crashed_at)
-        report = self._crash_log.add(runs, crashed_at)
-        ended = [
-            Send(effect.receiver, msgspec.structs.replace(effect.body, crash=report))
-            for effect in self._end_as_lost(keys, proof, now)
-        ]
-        informed = {effect.receiver for effect in ended}
-        others = [peer for peer in self._permissions.peers if peer not in informed]
-        return [crashed, *ended, *(Send(peer, report) for peer in others)]
-
-    def _end_as_lost(self, keys, proof, now):
-        """End runs as lost, since the worker can no longer run them."""
-        effects = []
-        for key in keys:
-            effects += self._end_run(key, RunEnd.LOST, proof, now)
         self._permissions.withdraw()
-        return _merge_ends(effects)
+        return self._run_ends.end_as_crashed(
+            keys, former, crashed_at, self._permissions.peers, proof, now
+        )
 
     def _mark_stopping(self, local_run):
         """Mark a run as stopping and return the command to stop it."""
@@ -726,15 +699,3 @@
     def _request_renewals(self):
         """Return the effect that requests a renewal from every dispatcher at once."""
         return [RequestRenewals()]
-
-
-def _merge_ends(effects):
-    """Return one `RunsEnded` per dispatcher, with its latest free resources."""
-    merged = {}
-    for effect in effects:
-        previous = merged.get(effect.receiver)
-        ends = (
-            effect.body.ends if previous is None else previous.ends + effect.body.ends
-        )
-        merged[effect.receiver] = RunsEnded(ends, effect.body.free_resources)
-    return [Send(receiver, body) for receiver, body in merged.items()]
--- /dev/null
+++ b/ragwortlug/jobs/run_ends.py
@@ -0,0 +1,99 @@
+"""How the runs of an agent end, and the messages that report it to dispatchers."""
+
+import msgspec
+
+from ragwortlug.envelope import Send
+from ragwortlug.jobs.crash_log import CrashLog
+from ragwortlug.jobs.ended_runs import EndedRuns
+from ragwortlug.jobs.local_runs import worker_crashed
+from ragwortlug.lease_messages import RunsEnded
+from ragwortlug.restartable_model import RunEnd
+
+MS_PER_S = 1000.0
+
+
+class RunEnds:
+    """Ends runs of one agent's worker, and remembers how they ended.
+
+    Parameters
+    ----------
+    runs : dict
+        The runs that the worker has or may have, by the incarnation of the dispatcher
+        and the number of the assignment. Ended runs are removed.
+    free_resources : callable
+        Returns the free resources to report.
+    """
+
+    def __init__(self, runs, free_resources):
+        self._runs = runs
+        self._free_resources = free_resources
+        self._ended_runs = EndedRuns()
+        self._crash_log = CrashLog()
+
+    def __contains__(self, key):
+        return key in self._ended_runs
+
+    def end_or_refuse(self, key):
+        """Return an assignment's end and run time; refuse one that has not arrived."""
+        return self._ended_runs.end_or_refuse(key)
+
+    def describe(self, task, attempt, now):
+        """Return fields of a log line that say whether and how an end was reported."""
+        return self._ended_runs.describe(task, attempt, now)
+
+    def crash_reports(self, now):
+        """Return the reports of the crashes that are still of use, a list."""
+        return self._crash_log.reports(now)
+
+    def end(self, ends, proof, now):
+        """End runs; return a message for each of their dispatchers.
+
+        Parameters
+        ----------
+        ends : iterable of (tuple, RunEnd)
+            The key of each run, and how it ended.
+        proof : EndProof
+            Why they can no longer run.
+        """
+        by_dispatcher = {}
+        for key, end in ends:
+            local_run = self._runs.pop(key)
+            run_ms = (now - local_run.started_at) * MS_PER_S
+            if end is RunEnd.STOPPED and not local_run.stopped:
+                end = RunEnd.LOST
+            self._ended_runs.add(key, local_run, end, run_ms, proof, now)
+            rows = by_dispatcher.setdefault(local_run.dispatcher, [])
+            rows.append((key[1], end, run_ms))
+        free_resources = self._free_resources()
+        return [
+            Send(dispatcher, RunsEnded(tuple(rows), free_resources))
+            for dispatcher, rows in by_dispatcher.items()
+        ]
+
+    def end_as_lost(self, keys, proof, now):
+        """End runs as lost, since the worker can no longer run them."""
+        return self.end([(key, RunEnd.LOST) for key in keys], proof, now)
+
+    def end_as_crashed(self, keys, report, crashed_at, peers, proof, now):
+        """End runs as lost after their worker has ended without notice.
+
+        Parameters
+        ----------
+        report : WorkerReport
+            The latest report of the boot that ended. A draining worker has announced
+            its end, which is no crash.
+        peers : iterable of Peer
+            The dispatchers that must know of the crash.
+        """
+        if not keys or report.draining:
+            return self.end_as_lost(keys, proof, now)
+        runs = [self._runs[key] for key in keys]
+        crashed = worker_crashed(report, runs, crashed_at)
+        crash = self._crash_log.add(runs, crashed_at)
+        ended = [
+            Send(effect.receiver, msgspec.structs.replace(effect.body, crash=crash))
+            for effect in self.end_as_lost(keys, proof, now)
+        ]
+        informed = {effect.receiver for effect in ended}
+        others = [peer for peer in peers if peer not in informed]
+        return [crashed, *ended, *(Send(peer, crash) for peer in others)]
