--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -8,8 +8,6 @@
 
 import dataclasses
 
-import msgspec
-
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
@@ -23,6 +21,7 @@
     may_reach,
 )
 from ragwortlug.jobs.permissions import Permissions
+from ragwortlug.jobs.resource_reports import ResourceReports
 from ragwortlug.jobs.run_ends import RunEnds
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
@@ -59,11 +58,11 @@
         self._runs = {}
         self._unassigned_runs = set()
         self._permissions = Permissions(settings)
-        # Dispatchers whose latest report left out resources that were on offer, as
-        # keys, so that their order does not depend on hashes.
-        self._uninformed = {}
+        self._reports = ResourceReports(
+            self._permissions, lambda: self.free_resources, lambda: self.accepting
+        )
         self._latest_snapshot_requested_at = 0.0
-        self._run_ends = RunEnds(self._runs, self._unreserved)
+        self._run_ends = RunEnds(self._runs, self._reports.unreserved)
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
         # The latest report of a boot that was replaced, and when it was first missed,
@@ -270,7 +269,7 @@
         if requested_at < self._latest_snapshot_requested_at:
             if self._lease.is_fenced and not was_fenced:
                 effects += self._request_renewals()
-            return self._offer_then_report(effects, now)
+            return self._reports.offer_then_report(effects, now)
         self._latest_snapshot_requested_at = requested_at
         silent_s = self._lease.on_clock(snapshot.clock_ms, now)
         if silent_s:
@@ -288,7 +287,7 @@
             effects.append(RequestSnapshot())
         elif not was_fenced:
             effects += self._request_renewals()
-        return self._offer_then_report(effects, now)
+        return self._reports.offer_then_report(effects, now)
 
     def _end_unlisted(self, listed, requested_at, now):
         """End the runs that a snapshot proves not to run; stop the unconfirmed ones.
@@ -399,7 +398,7 @@
         if answer is StartAnswer.OTHER_BOOT:
             return self._on_replaced(None, now)
         effects = self._run_ends.end([(key, end)], EndProof.NOT_STARTED, now)
-        return self._offer_then_report(effects, now)
+        return self._reports.offer_then_report(effects, now)
 
     def on_stop_answered(self, task, attempt, answered, now):
         """Handle the worker's answer to a command to stop a run.
@@ -463,11 +462,13 @@
             # renewal. If they were reported, the dispatcher would assign the same
             # runs again at once.
             free_resources = (
-                self._unreserved() if permitted and self.accepting else Resources()
+                self._reports.unreserved()
+                if permitted and self.accepting
+                else Resources()
             )
             effects.append(Send(sender, RunsEnded(tuple(refused), free_resources)))
-        effects += self._offer_resources(now)
-        return effects + self._report_remainder()
+        effects += self._reports.offer(now)
+        return effects + self._reports.report_remainder()
 
     def on_stop_runs(self, sender, message, now):
         """Stop runs of a dispatcher, or repeat how they ended.
@@ -488,13 +489,15 @@
                 )
                 effects.append(self._mark_stopping(local_run))
         if ends:
-            effects.append(Send(sender, RunsEnded(tuple(ends), self._unreserved())))
+            effects.append(
+                Send(sender, RunsEnded(tuple(ends), self._reports.unreserved()))
+            )
         return effects
 
     def on_wants(self, sender, message, now):
         """Record the resources that a dispatcher's best waiting task needs."""
         self._permissions.set_waiting_task(sender, message.rank, message.resources)
-        return self._offer_resources(now)
+        return self._reports.offer(now)
 
     def build_renewal(self, address, round_trip_ms, now):
         """Return the request for a renewal to the dispatcher at an address.
@@ -519,7 +522,7 @@
             report.data_centre,
             report.labels,
             report.capacity,
-            self._unreserved(),
+            self._reports.unreserved(),
             self.accepting,
         )
 
@@ -547,8 +550,8 @@
         ):
             self._next_snapshot_at = now + SNAPSHOT_RETRY_INTERVAL_S
             effects.append(RequestSnapshot())
-        effects += self._offer_resources(now)
-        return effects + self._report_remainder()
+        effects += self._reports.offer(now)
+        return effects + self._reports.report_remainder()
 
     def active_dispatchers(self):
         """Return the addresses of dispatchers with runs here."""
@@ -575,44 +578,6 @@
             return RunEnd.NO_RESOURCES
         return None
 
-    def _offer_resources(self, now):
-        """Offer the free resources to the dispatcher with the best waiting task."""
-        if not self.accepting:
-            return []
-        return self._permissions.offer(self.free_resources, now)
-
-    def _offer_then_report(self, effects, now):
-        """Offer the free resources, then complete the reports of ended runs.
-
-        A report that says resources are free while they are offered to another
-        dispatcher would make its receiver assign runs that must be refused. Its
-        receiver gets another one once the offer is answered.
-        """
-        offers = self._offer_resources(now)
-        reports = []
-        for effect in effects:
-            if isinstance(effect, Send) and isinstance(effect.body, RunsEnded):
-                body = msgspec.structs.replace(
-                    effect.body, free_resources=self._unreserved()
-                )
-                effect = Send(effect.receiver, body)
-                if self._permissions.offering:
-                    self._uninformed[effect.receiver] = None
-            reports.append(effect)
-        return reports + offers
-
-    def _report_remainder(self):
-        """Report the free resources to dispatchers whose latest report omitted them."""
-        if self._permissions.offering or not self._uninformed:
-            return []
-        report = RunsEnded((), self._unreserved())
-        receivers, self._uninformed = self._uninformed, {}
-        return [Send(receiver, report) for receiver in receivers]
-
-    def _unreserved(self):
-        """Return the free resources that no offer reserves."""
-        return Resources() if self._permissions.offering else self.free_resources
-
     def _record_ends(self, rows, by_run, now):
         """Record the ends that the worker lists; return messages that report them."""
         ends = {}
