End open runs when another id answers a start after a boot

While it is open which runs a later boot has, the agent knows no worker. Status 421 to the start of such a run then raised AttributeError, and the run ended only with the lease.

Before: test_a_start_that_another_id_answered_ends_without_a_report failed with AttributeError: 'NoneType' object has no attribute 'id'.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -177,6 +177,8 @@
         """
         runs = len(self._runs)
         effects = self._on_boot_replaced(later_id, now)
+        if self._worker is None:
+            return effects
         fields = {"worker": self._worker.id, "runs": runs}
         fields |= {"open_runs": len(self._runs)}
         fields["born_ms"] = self._worker.booted_at_ms
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -523,6 +523,16 @@
         assert reported_ends(effects) == [(2, RunEnd.LOST)]
         assert agent.running == 1
 
+    def test_a_start_that_another_id_answered_ends_without_a_report(self):
+        agent = runner()
+        start(agent)
+        assert (
+            reported_ends(look(agent, WorkerSnapshot(9, 10_050, (), ()), 10.01)) == []
+        )
+        key = (SENDER.incarnation, 1)
+        effects = agent.on_start_answered(key, StartAnswer.OTHER_BOOT, 10.02)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
     def test_acknowledged_runs_end_at_once(self):
         agent = runner()
         start(agent)
