--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -8,13 +8,10 @@
 
 import dataclasses
 
-import msgspec
-
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
-from ragwortlug.jobs.crash_log import CrashLog
-from ragwortlug.jobs.ended_runs import EndedRuns, EndProof
+from ragwortlug.jobs.ended_runs import EndProof
 from ragwortlug.jobs.local_runs import (
     LocalRun,
     Phase,
@@ -22,9 +19,10 @@
     event_of,
     late_runs,
     may_reach,
-    worker_crashed,
 )
 from ragwortlug.jobs.permissions import Permissions
+from ragwortlug.jobs.resource_reports import ResourceReports
+from ragwortlug.jobs.run_ends import RunEnds
 from ragwortlug.jobs.worker_calls import (
     RequestRenewals,
     RequestSnapshot,
@@ -60,14 +58,11 @@
         self._runs = {}
         self._unassigned_runs = set()
         self._permissions = Permissions(settings)
-        # Dispatchers whose latest report left out resources that were on offer, as
-        # keys, so that their order does not depend on hashes.
-        self._uninformed = {}
-        self._crash_log = CrashLog()
-        # The report of a crash that a refused connection suggests, until it is proved.
-        self._suspected_crash = None
+        self._reports = ResourceReports(
+            self._permissions, lambda: self.free_resources, lambda: self.accepting
+        )
         self._latest_snapshot_requested_at = 0.0
-        self._ended_runs = EndedRuns()
+        self._run_ends = RunEnds(self._runs, self._reports.unreserved)
         self._next_snapshot_at = 0.0
         self._ended_boot_id = None
         # The latest report of a boot that was replaced, and when it was first missed,
@@ -182,6 +177,8 @@
         """
         runs = len(self._runs)
         effects = self._on_boot_replaced(later_id, now)
+        if self._worker is None:
+            return effects
         fields = {"worker": self._worker.id, "runs": runs}
         fields |= {"open_runs": len(self._runs)}
         fields["born_ms"] = self._worker.booted_at_ms
@@ -266,7 +263,7 @@
         was_fenced = self._lease.is_fenced
         self._lease.on_contact(request.fencing_token, now)
         if self._replaced_boot is None:
-            self._withdraw_suspicion()
+            self._run_ends.withdraw_suspicion()
         by_run = {
             (local_run.task, local_run.run.attempt): key
             for key, local_run in self._runs.items()
@@ -276,7 +273,7 @@
         if requested_at < self._latest_snapshot_requested_at:
             if self._lease.is_fenced and not was_fenced:
                 effects += self._request_renewals()
-            return self._offer_then_report(effects, now)
+            return self._reports.offer_then_report(effects, now)
         self._latest_snapshot_requested_at = requested_at
         silent_s = self._lease.on_clock(snapshot.clock_ms, now)
         if silent_s:
@@ -294,7 +291,7 @@
             effects.append(RequestSnapshot())
         elif not was_fenced:
             effects += self._request_renewals()
-        return self._offer_then_report(effects, now)
+        return self._reports.offer_then_report(effects, now)
 
     def _end_unlisted(self, listed, requested_at, now):
         """End the runs that a snapshot proves not to run; stop the unconfirmed ones.
@@ -314,6 +311,7 @@
                 if (local_run.task, local_run.run.attempt) not in listed
             ]
             effects += self._end_as_crashed(former_runs, EndProof.REPLACED, now)
+        ends = []
         for key, local_run in tuple(self._runs.items()):
             acknowledged = (
                 local_run.acknowledged_at is not None
@@ -330,8 +328,8 @@
             if acknowledged:
                 started = local_run.phase is Phase.RUNNING or local_run.stopped
                 end = RunEnd.LOST if started else RunEnd.NOT_STARTED
-                effects += self._end_run(key, end, EndProof.NOT_LISTED, now)
-        return effects
+                ends.append((key, end))
+        return effects + self._run_ends.end(ends, EndProof.NOT_LISTED, now)
 
     def on_snapshot_failed(self, boot, refused, now):
         """Handle a snapshot request that a boot of the worker did not answer.
@@ -358,23 +356,11 @@
         return effects + self._end_expired(now)
 
     def _report_suspected_crash(self, now):
-        """Report the crash that a refused connection suggests; its runs may go on.
-
-        Dispatchers learn at once which tasks may be at fault. A task that ends well
-        after all is cleared there.
-        """
-        is_known = self._suspected_crash is not None or not self._runs
-        if not self._lease.refused or is_known or self._worker.draining:
+        """Report the crash that a refused connection suggests; its runs may go on."""
+        if not self._lease.refused or self._worker.draining:
             return []
         crashed_at = self._failing_since(now)
-        self._suspected_crash = self._crash_log.add(self._runs.values(), crashed_at)
-        return [Send(peer, self._suspected_crash) for peer in self._permissions.peers]
-
-    def _withdraw_suspicion(self):
-        """Forget a suspected crash, as the boot answers again."""
-        if self._suspected_crash is not None:
-            self._crash_log.remove(self._suspected_crash)
-            self._suspected_crash = None
+        return self._run_ends.suspect_crash(crashed_at, self._permissions.peers)
 
     def _end_expired(self, now):
         """End the runs of a silent worker once its lease must have expired.
@@ -391,8 +377,11 @@
         fields["token"] = self._lease.fencing_token
         self._lease.raise_token(self._lease.fencing_token + 1)
         expired = Event(EventName.LEASE_EXPIRED, "", fields)
-        end = self._end_as_crashed if crashed else self._end_as_lost
-        return [expired, *end(keys, EndProof.LEASE_EXPIRED, now)]
+        proof = EndProof.LEASE_EXPIRED
+        if crashed:
+            return [expired, *self._end_as_crashed(keys, proof, now)]
+        self._permissions.withdraw()
+        return [expired, *self._run_ends.end_as_lost(keys, proof, now)]
 
     def on_start_answered(self, key, answer, now, clock=None):
         """Handle the worker's answer to a command to start a run.
@@ -415,13 +404,13 @@
             if local_run.phase is Phase.STARTING:
                 local_run.phase = Phase.UNACKNOWLEDGED
                 local_run.unacknowledged_since = now
-            unacknowledged = event_of(EventName.RUN_UNSURE, local_run)
-            return [unacknowledged, RequestSnapshot()]
+            unsure = [] if started else [event_of(EventName.RUN_UNSURE, local_run)]
+            return [*unsure, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT:
             return self._on_replaced(None, now)
-        effects = self._end_run(key, end, EndProof.NOT_STARTED, now)
-        return self._offer_then_report(effects, now)
+        effects = self._run_ends.end([(key, end)], EndProof.NOT_STARTED, now)
+        return self._reports.offer_then_report(effects, now)
 
     def on_stop_answered(self, task, attempt, answered, now):
         """Handle the worker's answer to a command to stop a run.
@@ -444,7 +433,7 @@
         """Handle a dispatcher's renewal of its permission."""
         is_new = self._permissions.expires_at(sender.incarnation) is None
         self._permissions.on_renewed(sender, message.requested_at_ms)
-        reports = self._crash_log.reports(now) if is_new else ()
+        reports = self._run_ends.crash_reports(now) if is_new else ()
         return [Send(sender, report) for report in reports]
 
     def on_start_runs(self, sender, message, now):
@@ -485,11 +474,13 @@
             # renewal. If they were reported, the dispatcher would assign the same
             # runs again at once.
             free_resources = (
-                self._unreserved() if permitted and self.accepting else Resources()
+                self._reports.unreserved()
+                if permitted and self.accepting
+                else Resources()
             )
             effects.append(Send(sender, RunsEnded(tuple(refused), free_resources)))
-        effects += self._offer_resources(now)
-        return effects + self._report_remainder()
+        effects += self._reports.offer(now)
+        return effects + self._reports.report_remainder()
 
     def on_stop_runs(self, sender, message, now):
         """Stop runs of a dispatcher, or repeat how they ended.
@@ -503,20 +494,22 @@
             key = (sender.incarnation, number)
             local_run = self._runs.get(key)
             if local_run is None:
-                ends.append((number, *self._ended_runs.end_or_refuse(key)))
+                ends.append((number, *self._run_ends.end_or_refuse(key)))
             elif not local_run.stopped:
                 effects.append(
                     event_of(EventName.RUN_STOPPED, local_run, why="ordered")
                 )
                 effects.append(self._mark_stopping(local_run))
         if ends:
-            effects.append(Send(sender, RunsEnded(tuple(ends), self._unreserved())))
+            effects.append(
+                Send(sender, RunsEnded(tuple(ends), self._reports.unreserved()))
+            )
         return effects
 
     def on_wants(self, sender, message, now):
         """Record the resources that a dispatcher's best waiting task needs."""
         self._permissions.set_waiting_task(sender, message.rank, message.resources)
-        return self._offer_resources(now)
+        return self._reports.offer(now)
 
     def build_renewal(self, address, round_trip_ms, now):
         """Return the request for a renewal to the dispatcher at an address.
@@ -541,7 +534,7 @@
             report.data_centre,
             report.labels,
             report.capacity,
-            self._unreserved(),
+            self._reports.unreserved(),
             self.accepting,
         )
 
@@ -569,8 +562,8 @@
         ):
             self._next_snapshot_at = now + SNAPSHOT_RETRY_INTERVAL_S
             effects.append(RequestSnapshot())
-        effects += self._offer_resources(now)
-        return effects + self._report_remainder()
+        effects += self._reports.offer(now)
+        return effects + self._reports.report_remainder()
 
     def active_dispatchers(self):
         """Return the addresses of dispatchers with runs here."""
@@ -587,7 +580,7 @@
         """Return the end to report for a run that must not start, or None."""
         if not permitted or not self.accepting:
             return RunEnd.NO_RESOURCES
-        if key in self._ended_runs:
+        if key in self._run_ends:
             return RunEnd.NOT_STARTED
         task = (run.job_id, run.step, run.index)
         if any(local_run.task == task for local_run in self._runs.values()):
@@ -597,55 +590,17 @@
             return RunEnd.NO_RESOURCES
         return None
 
-    def _offer_resources(self, now):
-        """Offer the free resources to the dispatcher with the best waiting task."""
-        if not self.accepting:
-            return []
-        return self._permissions.offer(self.free_resources, now)
-
-    def _offer_then_report(self, effects, now):
-        """Offer the free resources, then complete the reports of ended runs.
-
-        A report that says resources are free while they are offered to another
-        dispatcher would make its receiver assign runs that must be refused. Its
-        receiver gets another one once the offer is answered.
-        """
-        offers = self._offer_resources(now)
-        reports = []
-        for effect in effects:
-            if isinstance(effect, Send) and isinstance(effect.body, RunsEnded):
-                body = msgspec.structs.replace(
-                    effect.body, free_resources=self._unreserved()
-                )
-                effect = Send(effect.receiver, body)
-                if self._permissions.offering:
-                    self._uninformed[effect.receiver] = None
-            reports.append(effect)
-        return reports + offers
-
-    def _report_remainder(self):
-        """Report the free resources to dispatchers whose latest report omitted them."""
-        if self._permissions.offering or not self._uninformed:
-            return []
-        report = RunsEnded((), self._unreserved())
-        receivers, self._uninformed = self._uninformed, {}
-        return [Send(receiver, report) for receiver in receivers]
-
-    def _unreserved(self):
-        """Return the free resources that no offer reserves."""
-        return Resources() if self._permissions.offering else self.free_resources
-
     def _record_ends(self, rows, by_run, now):
         """Record the ends that the worker lists; return messages that report them."""
-        effects = []
+        ends = {}
         for row in rows:
             if row.number <= self._last_end_number:
                 continue
             self._last_end_number = row.number
             key = by_run.get((row.task, row.attempt))
-            if key is not None and key in self._runs:
-                effects += self._end_run(key, row.end, EndProof.LISTED, now)
-        return _merge_ends(effects)
+            if key is not None:
+                ends.setdefault(key, row.end)
+        return self._run_ends.end(ends.items(), EndProof.LISTED, now)
 
     def _record_running(self, rows, by_run, now):
         """Record the listed runs; stop those that this agent did not start."""
@@ -663,7 +618,7 @@
                     "attempt": row.attempt,
                     "token": self._lease.fencing_token,
                 }
-                fields |= self._ended_runs.describe(row.task, row.attempt, now)
+                fields |= self._run_ends.describe(row.task, row.attempt, now)
                 effects.append(Event(EventName.RUN_FOREIGN, row.task[0], fields))
                 effects.append(self._stop_command(row.task, row.attempt))
                 continue
@@ -683,16 +638,6 @@
         reports = [Send(receiver, Progress(runs)) for receiver, runs in rows.items()]
         return effects + reports
 
-    def _end_run(self, key, end, proof, now):
-        """Remove a run that has ended and return the message that reports it."""
-        local_run = self._runs.pop(key)
-        run_ms = (now - local_run.started_at) * MS_PER_S
-        if end is RunEnd.STOPPED and not local_run.stopped:
-            end = RunEnd.LOST
-        self._ended_runs.add(key, local_run, end, run_ms, proof, now)
-        message = RunsEnded(((key[1], end, run_ms),), self._unreserved())
-        return [Send(local_run.dispatcher, message)]
-
     def _adopt(self, local_run):
         """Go on with a run that a later boot carried out; return the effects."""
         effects = [event_of(EventName.RUN_ADOPTED, local_run)]
@@ -706,36 +651,16 @@
         return now if failing_since is None else failing_since
 
     def _end_as_crashed(self, keys, proof, now):
-        """End runs as lost after their worker has ended without notice.
-
-        A draining worker has announced its end, which also ends its runs.
-        """
+        """End runs as lost after their worker has ended without notice."""
         former, crashed_at = self._replaced_boot or (
             self._worker,
             self._failing_since(now),
         )
         self._replaced_boot = None
-        if not keys or former.draining:
-            return self._end_as_lost(keys, proof, now)
-        runs = [self._runs[key] for key in keys]
-        crashed = worker_crashed(former, runs, crashed_at)
-        report = self._suspected_crash or self._crash_log.add(runs, crashed_at)
-        self._suspected_crash = None
-        ended = [
-            Send(effect.receiver, msgspec.structs.replace(effect.body, crash=report))
-            for effect in self._end_as_lost(keys, proof, now)
-        ]
-        informed = {effect.receiver for effect in ended}
-        others = [peer for peer in self._permissions.peers if peer not in informed]
-        return [crashed, *ended, *(Send(peer, report) for peer in others)]
-
-    def _end_as_lost(self, keys, proof, now):
-        """End runs as lost, since the worker can no longer run them."""
-        effects = []
-        for key in keys:
-            effects += self._end_run(key, RunEnd.LOST, proof, now)
         self._permissions.withdraw()
-        return _merge_ends(effects)
+        return self._run_ends.end_as_crashed(
+            keys, former, crashed_at, self._permissions.peers, proof, now
+        )
 
     def _mark_stopping(self, local_run):
         """Mark a run as stopping and return the command to stop it."""
@@ -751,15 +676,3 @@
     def _request_renewals(self):
         """Return the effect that requests a renewal from every dispatcher at once."""
         return [RequestRenewals()]
-
-
-def _merge_ends(effects):
-    """Return one `RunsEnded` per dispatcher, with its latest free resources."""
-    merged = {}
-    for effect in effects:
-        previous = merged.get(effect.receiver)
-        ends = (
-            effect.body.ends if previous is None else previous.ends + effect.body.ends
-        )
-        merged[effect.receiver] = RunsEnded(ends, effect.body.free_resources)
-    return [Send(receiver, body) for receiver, body in merged.items()]
