Read the shared store's items one by one

Seen: one item whose key is no text, beside the configuration and the roster, and no entry could confirm its view from the store; a release note ended with 520 in place of being committed. One odd note and the list of notes was answered 500. A reply that is no object, and deeply nested ones, were internal errors in place of errors of the store, so the quorum of entries did not step in. Cause: the gateway's replies were read without types, as a whole. Fix: items are decoded one by one and odd ones logged once. One whose key can be read is never taken as missing, so that no entry begins anew beside an odd configuration: its value counts as a store that does not answer, and the entries confirm their views by their quorum meanwhile.

--- a/ragwortlug/io/registrar.py
+++ b/ragwortlug/io/registrar.py
@@ -149,9 +149,13 @@
                 return self._result(error.code, (error.detail,))
 
     async def history(self):
-        """Return all `AcceptedNote`, oldest first."""
-        values = await self._store.list(NOTE_KEYS)
-        notes = [_note_decoder.decode(value) for value in values]
+        """Return all valid `AcceptedNote`, oldest first."""
+        notes = []
+        for value in await self._store.list(NOTE_KEYS):
+            try:
+                notes.append(_note_decoder.decode(value))
+            except msgspec.DecodeError as error:
+                once_log.warning(value, "Skipped an invalid release note: {}.", error)
         return sorted(notes, key=lambda accepted: accepted.version)
 
     async def accepted(self, note_id):
@@ -159,7 +163,7 @@
         stored = await self._store.get(NOTE_KEYS + note_id)
         if not stored.revision:
             return None
-        return _note_decoder.decode(stored.value)
+        return _decoded(NOTE_KEYS + note_id, stored, _note_decoder)
 
     def lagging_members(self, version):
         """Return the names of processes that may not yet apply a version.
@@ -292,9 +296,13 @@
             self._view_sync.apply_change(Change(roster=roster))
 
     async def _read_key(self, key, kind):
-        """Return the decoded value of a key and record its revision."""
+        """Return the decoded value of a key and record its revision.
+
+        A value that can't be read may be newer than the view, so it counts as a store
+        that does not answer: the view is not confirmed by it.
+        """
         stored = await self._store.get(key)
-        value = JsonDecoder(kind).decode(stored.value)
+        value = _decoded(key, stored, JsonDecoder(kind))
         self._revisions[key] = stored.revision
         return value
 
@@ -454,3 +462,14 @@
         self._learned_at.setdefault(version, self._timer.monotonic())
         while len(self._learned_at) > 1000:
             del self._learned_at[next(iter(self._learned_at))]
+
+
+def _decoded(key, stored, decoder):
+    """Return the decoded value of a key, or raise `StoreError`."""
+    try:
+        return decoder.decode(stored.value)
+    except msgspec.DecodeError as error:
+        once_log.warning(
+            (key, stored.revision), "The value of {} can't be read: {}.", key, error
+        )
+        raise StoreError(f"the value of {key} can't be read: {error}") from error
