Check payloads, results and announcements of targets

Seen: a target's reply that is no object, or deeply nested, left its job without any answer; a payload or a result with a number over 64 bits fits in no message. A release note with such a number was committed, or raised OverflowError; an announcement with one, or with a URL that no task could be sent to, was answered 200. A query for a version of 5000 digits was an internal error. Cause: values without a type, and the target's replies, were passed on unchecked. Evidence, the new tests on the code before: TimeoutError for the replies `7` and the deeply nested one (no answer within 5 s), 6 of 6 announcements "assert 200 == 400", "assert 2 == <Code.BAD_FIELD: 101>" and "OverflowError: can't serialize ints" for the notes. Fix: payloads and results have at most 100 levels and numbers of 64 bits, replies have a type, and the URL must begin with http://IP:PORT.

--- a/ragwortlug/decoding.py
+++ b/ragwortlug/decoding.py
@@ -12,6 +12,8 @@
 # The largest whole number that every reader of JSON keeps exactly.
 MAX_WHOLE = 2**53 - 1
 MAX_INT64 = 2**63 - 1
+# Levels of a value that is passed on as it is; a reader has room for ten times that.
+MAX_NESTING = 100
 MAX_FACTOR = 1e6
 MAX_COUNT = 2**31 - 1
 MAX_SECONDS = 366 * 24 * 3600
@@ -30,6 +32,35 @@
 _OTHER_FAILURES = (RecursionError, OverflowError, UnicodeDecodeError)
 
 
+def check_plain_value(value):
+    """Check that every message can carry a decoded value without a type.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        It is nested deeper than `MAX_NESTING`, or has a whole number over 64 bits.
+    """
+    level = [value]
+    for _ in range(MAX_NESTING + 1):
+        if not level:
+            return
+        if any(type(each) is int and not _fits_in_64_bits(each) for each in level):
+            raise msgspec.ValidationError("A whole number is over 64 bits")
+        level = [child for each in level for child in _children(each)]
+    raise msgspec.ValidationError(f"Nested deeper than {MAX_NESTING} levels")
+
+
+def _fits_in_64_bits(number):
+    return -MAX_INT64 <= number <= MAX_INT64
+
+
+def _children(value):
+    """Return the values that a decoded list or object holds."""
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
 class _Decoder:
     """Decodes bytes with a decoder of the library.
 
--- a/ragwortlug/io/callers.py
+++ b/ragwortlug/io/callers.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
+import msgspec
 from aiohttp import web
 
 from ragwortlug.codes import Code
-from ragwortlug.decoding import JsonDecoder
+from ragwortlug.decoding import JsonDecoder, check_plain_value
 from ragwortlug.errors import RequestError
 from ragwortlug.io.http import error_body, json_response, read_body
 from ragwortlug.model import MAX_TASKS, Answer, Job, Name, Natural, Task, is_job_id
@@ -83,6 +84,7 @@
         if submission.id and not is_job_id(submission.id):
             detail = f"{submission.id!r} is not a UUID of version 7"
             raise RequestError(detail, Code.BAD_JOB_ID)
+        _check_payloads(submission.tasks)
         job_id = submission.id or self._relay.generate_job_id()
         return Job(
             job_id,
@@ -110,6 +112,16 @@
     return json_response(body, code)
 
 
+def _check_payloads(tasks):
+    """Raise `RequestError` for a payload that can't be passed on to a target."""
+    for index, task in enumerate(tasks):
+        try:
+            check_plain_value(task.payload)
+        except msgspec.DecodeError as error:
+            detail = f"{error} - at `$.tasks[{index}].payload`"
+            raise RequestError(detail, Code.BAD_FIELD) from error
+
+
 def _path_job_id(request):
     """Return the job id in a request's path, or raise `RequestError`."""
     job_id = request.match_info["id"]
--- a/ragwortlug/io/operators.py
+++ b/ragwortlug/io/operators.py
@@ -14,6 +14,7 @@
 from ragwortlug.view.note import ReleaseNote, apply_note
 
 TRACE_TIMEOUT_S = 1.0
+MAX_DIGITS = 18
 
 _note_decoder = JsonDecoder(ReleaseNote)
 
@@ -180,7 +181,7 @@
 def _query_number(request, name):
     """Return a whole number from the query, or raise `RequestError`."""
     text = request.query.get(name, "")
-    if not text.isdecimal():
+    if not text.isdecimal() or len(text) > MAX_DIGITS:
         detail = f"query `{name}` is {text!r}; wanted a whole number"
         raise RequestError(detail, Code.BAD_FIELD)
     return int(text)
--- a/ragwortlug/io/targets.py
+++ b/ragwortlug/io/targets.py
@@ -8,14 +8,17 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 import msgspec
 from aiohttp import web
 
 from ragwortlug.codes import Code
-from ragwortlug.decoding import JsonDecoder
+from ragwortlug.decoding import JsonDecoder, check_plain_value
+from ragwortlug.errors import RequestError
 from ragwortlug.io.http import json_response, read_body
+from ragwortlug.lease_settings import is_address
 from ragwortlug.model import Announcement, TaskOutcome
 
 MS_PER_S = 1000.0
@@ -23,8 +26,18 @@
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 1.0
 
+
+@dataclass(frozen=True, slots=True)
+class TargetReply:
+    """The body of a target's reply; which fields it has depends on the request."""
+
+    result: Any = None
+    error: Any = ""
+    checkpoint: str | None = None
+
+
 _announcement_decoder = JsonDecoder(Announcement)
-_json_decoder = JsonDecoder()
+_reply_decoder = JsonDecoder(TargetReply)
 _encoder = msgspec.json.Encoder()
 
 
@@ -53,6 +66,7 @@
     async def _announce(self, request):
         """Accept an announcement; one with `leaving` set is the last."""
         announcement = await read_body(request, _announcement_decoder)
+        _check_url(announcement.url)
         self._on_announcement(announcement)
         return json_response({"ttl_ms": announcement.ttl_ms})
 
@@ -140,7 +154,7 @@
     async def checkpoint_task(self, task, url):
         """Ask the target to save a task's state; return its checkpoint name or None."""
         reply = await self._request("POST", f"{url}/tasks/{task}/checkpoint")
-        return None if reply is None else reply.get("checkpoint")
+        return None if reply is None else reply.checkpoint
 
     async def _request(self, method, url):
         """Return the target's decoded reply to a request, or None on failure."""
@@ -148,7 +162,7 @@
         try:
             async with self._session.request(method, url, timeout=timeout) as response:
                 raw = await response.read()
-            return _json_decoder.decode(raw) if response.status == 200 else None
+            return _reply_decoder.decode(raw) if response.status == 200 else None
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
             return None
 
@@ -159,11 +173,12 @@
             raw = await response.read()
         if response.status == Code.LEASE_TOO_LATE.http_status:
             return NotStarted(Code.LEASE_TOO_LATE)
-        reply = _json_decoder.decode(raw)
+        reply = _reply_decoder.decode(raw)
         if response.status == 200:
-            return TaskOutcome(int(Code.OK), reply.get("result"))
+            check_plain_value(reply.result)
+            return TaskOutcome(int(Code.OK), reply.result)
         code = Code.STOPPED if body["id"] in self._stopped else Code.TASK_FAILED
-        return TaskOutcome(int(code), None, str(reply.get("error", "")))
+        return TaskOutcome(int(code), None, str(reply.error))
 
     async def _save_and_stop(self, start):
         """Save the state of a task whose lease has ended, and stop it."""
@@ -174,6 +189,14 @@
         return TaskOutcome(int(code), None, f"checkpoint {saved}" if saved else "")
 
 
+def _check_url(url):
+    """Raise `RequestError` if no task could be sent to a URL."""
+    scheme, _, rest = url.partition("://")
+    if scheme != "http" or not is_address(f"tcp://{rest.partition('/')[0]}"):
+        detail = f"{url!r} does not begin with http://IP:PORT - at `$.url`"
+        raise RequestError(detail, Code.BAD_FIELD)
+
+
 def task_id(key):
     """Return the id that the target uses for a granted task."""
     return f"{key.home.incarnation}-{key.number}"
--- a/standins/target.py
+++ b/standins/target.py
@@ -44,6 +44,8 @@
         Whether every task fails at once.
     peak_running : int
         Largest number of simultaneous tasks.
+    reply_body : bytes or None
+        Body of the answers to all tasks, in place of the usual one.
     """
 
     def __init__(self, url, agent_url, capacity, ttl_ms=1500):
@@ -65,6 +67,7 @@
         self.slowness = 1.0
         self.fail_all = False
         self.peak_running = 0
+        self.reply_body = None
         self.app = web.Application(client_max_size=1 << 24)
         self.app.add_routes(
             [
@@ -156,6 +159,8 @@
             request.transport.abort()
         if payload.get("fail") or self.fail_all:
             return web.json_response({"error": "told to fail"}, status=500)
+        if self.reply_body is not None:
+            return web.Response(body=self.reply_body)
         return web.json_response({"result": payload.get("echo", name)})
 
     async def _stop(self, request):
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,6 +1,7 @@
 """Malformed input gets its numbered error and harms nothing else."""
 
 import asyncio
+import json
 import time
 
 import aiohttp
@@ -9,7 +10,7 @@
 import zmq
 import zmq.asyncio
 
-from ragwortlug.codes import Code
+from ragwortlug.codes import Code, Verdict
 from ragwortlug.envelope import Envelope, Peer, Rejected
 from ragwortlug.messages import CODEC, Load
 from ragwortlug.model import new_job_id
@@ -26,6 +27,7 @@
     slots=4,
 )
 HOUR_MS = 3_600_000
+ANSWER_LIMIT_S = 5.0
 STRANGER = Peer("tcp://127.0.0.1:1", "stranger")
 # A message with one element more than it should have, which is deeply nested.
 NESTED = b"\x94" + CODEC.encode(Envelope(STRANGER, "", Load(1)))[1:] + b"\x91" * 200_000
@@ -47,6 +49,21 @@
     "no JSON": (b"{", Code.BAD_JSON),
     "no text": (b"\xff\xfe", Code.BAD_JSON),
     "deeply nested": (b'{"tasks":[{"payload":' + b"[" * 200_000, Code.BAD_JSON),
+    "a payload of 900 levels": (
+        b'{"team":"gyanbhandar","service":"mould-carving","tasks":[{"payload":'
+        + (b"[" * 900 + b"]" * 900 + b"}]}"),
+        Code.BAD_FIELD,
+    ),
+    "a number over 64 bits in a payload": (
+        b'{"team":"gyanbhandar","service":"mould-carving","tasks":[{"payload":'
+        + (b'{"a":[1' + b"0" * 30 + b"]}}]}"),
+        Code.BAD_FIELD,
+    ),
+    "a number over 64 bits": (
+        b'{"team":"gyanbhandar","service":"mould-carving","tasks":[{"run_ms":1'
+        + (b"0" * 30 + b"}]}"),
+        Code.BAD_FIELD,
+    ),
     "a list": (b"[]", Code.BAD_FIELD),
     "a wrong type": (submission(tasks="many"), Code.BAD_FIELD),
     "a missing field": (submission(team=None), Code.BAD_FIELD),
@@ -104,6 +121,68 @@
         with_site(scenario, PLAN)
 
 
+class TestTargets:
+    """What a target says is checked like what a caller says."""
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"url": "garbage"},
+            {"url": "http://127.0.0.1:99999"},
+            {"url": "tcp://127.0.0.1:80"},
+            {"ttl_ms": 10**30},
+            {"capacity": {"services": ["mould-carving"], "slots": 10**30}},
+            {"usage": {"cpus": -1}},
+        ],
+    )
+    def test_an_odd_announcement_gets_its_number(self, fields):
+        good = {
+            "url": "http://127.0.0.1:80",
+            "instance": "t",
+            "capacity": {"services": ["mould-carving"], "slots": 1},
+        }
+
+        async def scenario(site, client):
+            url = PLAN.agent_settings(0).http.replace("tcp://", "http://") + "/target"
+            data = json.dumps(good | fields).encode()
+            async with (
+                aiohttp.ClientSession() as session,
+                session.put(url, data=data) as response,
+            ):
+                assert response.status == 400
+                body = msgspec.json.decode(await response.read())
+                assert body["code"] == Code.BAD_FIELD
+            await assert_serves(client)
+
+        with_site(scenario, PLAN)
+
+    @pytest.mark.parametrize(
+        "reply",
+        [
+            b"",
+            b"\xff",
+            b"7",
+            b"[]",
+            b'{"result":' + b"[" * 200_000,
+            b'{"result":' + b"[" * 900 + b"]" * 900 + b"}",
+            b'{"result":1' + b"0" * 30 + b"}",
+        ],
+    )
+    def test_an_odd_reply_costs_its_job_only(self, reply):
+        async def scenario(site, client):
+            for target in site.targets:
+                target.reply_body = reply
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                answer = await client.submit(PLAN.service, [{"run_ms": 1}])
+            assert answer.verdict in (Verdict.FAILED, Verdict.UNKNOWN)
+            assert set(starts(site).values()) == {1}
+            for target in site.targets:
+                target.reply_body = None
+            await assert_serves(client)
+
+        with_site(scenario, PLAN)
+
+
 class TestForeignIds:
     def test_another_teams_id_is_neither_run_nor_shown(self):
         async def scenario(site, client):
@@ -153,6 +232,31 @@
 
 
 class TestNotes:
+    @pytest.mark.parametrize("path", ["/notes", "/notes/check"])
+    @pytest.mark.parametrize(
+        "added",
+        [
+            {"teams": [{"name": "a", "quota": 10**30}]},
+            {"services": [{"name": "a", "data_centres": [], "lease_ms": 10**400}]},
+        ],
+    )
+    def test_a_number_out_of_range_gets_its_number(self, path, added):
+        async def scenario(site, client):
+            note = {"id": "wrong", "base": 1, "added": added}
+            _, reply = await post(json.dumps(note).encode(), path)
+            assert reply["code"] == Code.BAD_FIELD
+            assert (await client.get("/configuration"))["version"] == 1
+
+        with_site(scenario, PLAN)
+
+    @pytest.mark.parametrize("version", ["", "-1", "x", "9" * 5000])
+    def test_an_odd_version_gets_its_number(self, version):
+        async def scenario(site, client):
+            reply = await client.get(f"/configuration/in-force?version={version}")
+            assert reply["code"] == Code.BAD_FIELD
+
+        with_site(scenario, PLAN)
+
     @pytest.mark.parametrize("path", ["/notes", "/notes/check"])
     def test_refused_note_says_every_reason(self, path):
         async def scenario(site, client):
