Refuse odd values of the platform's settings file with a reason

Seen: a file that is deeply nested, or has an infinite time, ended the program with a traceback; `grace_s = inf` and a port 99999 were taken; an odd address of a server raised ValueError while the program was composed; an odd seed was taken as an address. Cause: values were converted without a check.

--- a/ragwortlug/platform/program.py
+++ b/ragwortlug/platform/program.py
@@ -11,6 +11,7 @@
 from ragwortlug.daemon import serve
 from ragwortlug.errors import RagwortlugError
 from ragwortlug.events import EventName
+from ragwortlug.lease_settings import parse_address
 from ragwortlug.platform.settings import agent_settings, entry_settings, read
 from ragwortlug.telemetry.journal import Journal
 from ragwortlug.telemetry.logs import set_up_journal
@@ -43,8 +44,10 @@
     compose = importlib.import_module(root_module).compose
     try:
         settings = translate_settings(read(parsed.settings))
+        if parsed.listen:
+            parse_address(parsed.listen)
         settings = dataclasses.replace(settings, listen=parsed.listen)
-    except RagwortlugError as error:
+    except (RagwortlugError, ValueError) as error:
         print(f"ragwortlug: {error}", file=sys.stderr)
         return EXIT_SETTINGS
     journal = Journal(f"{parsed.role} {settings.address}")
--- a/ragwortlug/platform/settings.py
+++ b/ragwortlug/platform/settings.py
@@ -5,19 +5,25 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ragwortlug.decoding import MAX_COUNT
 from ragwortlug.errors import SettingsError
 from ragwortlug.lease_settings import (
     DispatchEntrySettings,
     LeasedAgentSettings,
     LogSettings,
     RestartSettings,
+    is_address,
+    parse_address,
 )
+from ragwortlug.telemetry.logs import logger
 
 PATH_VARIABLE = "RAGWORTLUG_BOOT"
 METRICS_PORT = 9464
 GRACE_MARGIN_S = 0.5
 MS_PER_S = 1000.0
 
+log = logger("settings")
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
@@ -59,38 +65,59 @@
         raw = tomllib.loads(path.read_text())
     except OSError as error:
         raise SettingsError(f"{path}: can't read the file: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
     try:
         return _platform_settings_of(raw)
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+    except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise SettingsError(f"{path}: missing or invalid setting: {error!r}") from error
 
 
 def _platform_settings_of(raw):
     """Return the `PlatformSettings` in a decoded file."""
     inner_port = int(raw["internal_port_range"][0])
-    # The file lists seeds with a port other than the one for messages of entries.
-    seed_ips = (str(seed).rpartition(":")[0] for seed in raw.get("seed_nodes", ()))
     bounds = raw["bounds"]
+    store = str(raw["platform"]["address"])
+    parse_address(f"tcp://{store}")
     return PlatformSettings(
-        str(raw["ip"]),
+        parse_address(f"tcp://{raw['ip']}:{inner_port}")[0],
         str(raw["zone"]),
         inner_port,
         dict(raw["listen_addrs"]),
-        tuple(f"tcp://{ip}:{inner_port}" for ip in seed_ips),
-        f"http://{raw['platform']['address']}",
-        float(bounds["grace_s"]),
-        int(bounds["retransmit_ms"]),
-        int(bounds["max_hold_ms"]),
+        tuple(_seed_addresses(raw.get("seed_nodes", ()), inner_port)),
+        f"http://{store}",
+        _number(bounds, "grace_s", float),
+        _number(bounds, "retransmit_ms", int),
+        _number(bounds, "max_hold_ms", int),
     )
 
 
+def _seed_addresses(seeds, inner_port):
+    """Yield the addresses of the seeds; log and skip one that has no valid address.
+
+    The file lists seeds with a port other than the one for messages of entries.
+    """
+    for seed in seeds:
+        address = f"tcp://{str(seed).rpartition(':')[0]}:{inner_port}"
+        if is_address(address):
+            yield address
+        else:
+            log.warning("Skipped a seed at an invalid address: {!r}.", seed)
+
+
+def _number(bounds, name, kind):
+    """Return a positive number, or raise `ValueError`."""
+    number = kind(bounds[name])
+    if not 0 < number <= MAX_COUNT:
+        raise ValueError(f"{name} is {number}")
+    return number
+
+
 def entry_settings(platform_settings):
     """Return the `DispatchEntrySettings` of an entry."""
     return DispatchEntrySettings(
-        http=f"tcp://{platform_settings.listen['front']}",
-        ready=f"tcp://{platform_settings.listen['ready']}",
+        http=_listen_address(platform_settings, "front"),
+        ready=_listen_address(platform_settings, "ready"),
         **_common_settings(platform_settings),
     )
 
@@ -98,11 +125,19 @@
 def agent_settings(platform_settings):
     """Return the `LeasedAgentSettings` of an agent."""
     return LeasedAgentSettings(
-        http=f"tcp://{platform_settings.listen['control']}",
+        http=_listen_address(platform_settings, "control"),
         **_common_settings(platform_settings),
     )
 
 
+def _listen_address(platform_settings, name):
+    """Return the address of a server, or raise `SettingsError`."""
+    address = f"tcp://{platform_settings.listen.get(name, '')}"
+    if not is_address(address):
+        raise SettingsError(f"listen_addrs.{name}: {address!r} is not tcp://IP:PORT")
+    return address
+
+
 def _common_settings(platform_settings):
     """Return the settings that both programs share, as keyword arguments."""
     return {
