--- a/ragwortlug/cli.py
+++ b/ragwortlug/cli.py
@@ -177,7 +177,7 @@
 
 def _explain(parsed):
     """Print the timeline of a job from journal files."""
-    texts = [Path(path).read_text(errors="replace") for path in parsed.files]
+    texts = [_read_journal(path) for path in parsed.files]
     timeline = read_timeline(parsed.id, (text.splitlines() for text in texts))
     for line in format_timeline(timeline):
         print(line)
@@ -279,6 +279,14 @@
         raise RequestError(f"{path}: {error}", Code.BAD_JSON) from error
 
 
+def _read_journal(path):
+    """Return the text of a journal, or raise `RequestError`."""
+    try:
+        return Path(path).read_text(errors="replace")
+    except OSError as error:
+        raise RequestError(f"{path}: {error.strerror}", Code.BAD_FIELD) from error
+
+
 def _json(text):
     """Return the decoded JSON of an argument, or raise `RequestError`."""
     try:
--- a/ragwortlug/telemetry/timeline.py
+++ b/ragwortlug/telemetry/timeline.py
@@ -25,7 +25,7 @@
     lines : tuple of dict
         The decoded events, ordered by time.
     unreadable : int
-        Number of lines in the files that are not JSON, except blank ones.
+        Number of lines in the files that are not events, except blank ones.
     """
 
     lines: tuple[dict, ...] = ()
@@ -52,12 +52,26 @@
             except msgspec.DecodeError:
                 unreadable += bool(text.strip())
                 continue
-            if isinstance(event, dict) and event.get(JOB_KEY) == job_id:
+            if not _is_event(event):
+                unreadable += 1
+            elif event.get(JOB_KEY) == job_id:
                 lines.append(event)
     lines.sort(key=lambda event: event.get("time", 0.0))
     return JobTimeline(tuple(lines), unreadable)
 
 
+def _is_event(value):
+    """Return whether a decoded line has the form of an event."""
+    if not isinstance(value, dict):
+        return False
+    orders = value.get(ORDERS_KEY, [])
+    return (
+        isinstance(value.get("time", 0.0), int | float)
+        and isinstance(orders, list)
+        and all(isinstance(order, dict) for order in orders)
+    )
+
+
 def format_timeline(timeline):
     """Return a timeline as lines of text, each with the time since the first event."""
     if not timeline.lines:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -16,7 +16,7 @@
 from ragwortlug.platform import wire
 from ragwortlug.restartable_model import Queue
 from ragwortlug.settings import AgentSettings, EntrySettings, load
-from ragwortlug.telemetry.timeline import read_timeline
+from ragwortlug.telemetry.timeline import format_timeline, read_timeline
 
 DEPTH = 200_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
@@ -113,6 +113,21 @@
         timeline = read_timeline("a", [lines])
         assert (len(timeline.lines), timeline.unreadable) == (2, 1)
 
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            "[]",
+            '{"job": "a", "time": "now"}',
+            '{"job": "a", "orders": 7}',
+            '{"job": "a", "orders": [7]}',
+        ],
+    )
+    def test_a_line_that_is_no_event(self, odd):
+        good = '{"job": "a", "event": "job_accepted", "time": 1.0}'
+        timeline = read_timeline("a", [[good, odd, good]])
+        assert len(format_timeline(timeline)) == 2
+        assert timeline.unreadable == 1
+
     def test_a_payload_on_the_command_line(self, capsys):
         arguments = ["submit", "--team", "kitchen", "--service", "carving"]
         assert main([*arguments, NESTED.decode()]) == 3
