Test that a member at an invalid address does not join

Evidence: on the code before these changes the test never ends: the entry sends to the member, the socket whose connect raised ZMQError stays open, and `Peers.stop` waits for it without end (the stack says peers.py, line 204, `context.term`). So a process that had been told such an address could not be stopped gracefully.

--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,8 +12,11 @@
 
 from ragwortlug.codes import Code, Verdict
 from ragwortlug.envelope import Envelope, Peer, Rejected
-from ragwortlug.messages import CODEC, Load
+from ragwortlug.lease_settings import is_address
+from ragwortlug.messages import CODEC, Load, Poll
 from ragwortlug.model import new_job_id
+from ragwortlug.view.roster import Member
+from ragwortlug.view.view import Versions
 from standins.site import SitePlan
 from tests.test_path import starts, with_site
 
@@ -306,3 +309,28 @@
             await assert_serves(client)
 
         with_site(scenario, PLAN)
+
+    @pytest.mark.parametrize("address", ["garbage", "tcp://127.0.0.1:99999"])
+    def test_a_member_at_an_invalid_address_does_not_join(self, address):
+        async def scenario(site, client):
+            context = zmq.asyncio.Context()
+            socket = context.socket(zmq.DEALER)
+            socket.connect(PLAN.entry_settings(0).address)
+            for name, given in (("odd", address), ("good", STRANGER.address)):
+                member = Member(f"{name}/0", "agent", given, "patan")
+                poll = Poll(1, member, Versions())
+                await socket.send(CODEC.encode(Envelope(STRANGER, "", poll)))
+            addresses = {}
+            try:
+                async with asyncio.timeout(ANSWER_LIMIT_S):
+                    while "good/0" not in addresses:
+                        status = await client.get("/status")
+                        members = status["roster"]["members"]
+                        addresses = {each["name"]: each["address"] for each in members}
+                        await asyncio.sleep(0.1)
+            finally:
+                socket.close(linger=0)
+                context.term()
+            assert all(is_address(each) for each in addresses.values())
+
+        with_site(scenario, PLAN)
