Run every kind of fault of the soak against the stand-ins

The soak by hand ended with an error on any seed that drew store_forgets: "'PlatformStore' object has no attribute 'forget'". The same happened on seeds that crashed a worker while it was down: 'NoneType' object has no attribute 'pre_shutdown'.

store_forgets calls compact, and a worker that is down crashes no second time.

--- a/tests/faults/programs.py
+++ b/tests/faults/programs.py
@@ -36,6 +36,8 @@
         Exit codes of ends that no signal has asked for.
     """
 
+    _command = (sys.executable, "-m", "ragwortlug.platform")
+
     def __init__(self, name, role, settings, listen, log):
         self.name = name
         self._arguments = [role, "--settings", str(settings), "--listen", listen]
@@ -92,9 +94,7 @@
     async def _launch(self):
         """Start the process once."""
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "ragwortlug.platform",
+            *self._command,
             *self._arguments,
             cwd=ROOT,
             stdin=subprocess.DEVNULL,
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -26,7 +26,18 @@
 class NamedWorker(PlatformWorker):
     """A stand-in worker with the name of the place that it shares with its agent."""
 
-    name = ""
+    def __init__(self, name, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.name = name
+        self._crashing = False
+
+    async def crash(self, down_s):
+        """Crash and boot again, unless it is down already."""
+        if self._crashing:
+            return
+        self._crashing = True
+        await super().crash(down_s)
+        self._crashing = False
 
 
 class Site:
@@ -40,11 +51,14 @@
         Takes settings and logs.
     entries, agents : int
         How many of each.
+    program : callable
+        Creates the processes, with the parameters of `Program`.
     """
 
-    def __init__(self, seed, folder, entries=3, agents=6):
+    def __init__(self, seed, folder, entries=3, agents=6, program=Program):
         self._net = f"127.{16 + seed % 200}"
         self._folder = folder
+        self._program = program
         self.rng = random.Random(seed)
         self.links = Links()
         self.witness = Witness(MAX_ATTEMPTS, self.links)
@@ -141,14 +155,13 @@
         listen = f"tcp://{self.own(name)}:{INNER_PORT}"
         log = self._folder / f"{name}.log"
         role = name.partition("-")[0]
-        self.programs[name] = Program(name, role, settings, listen, log)
+        self.programs[name] = self._program(name, role, settings, listen, log)
         await self.programs[name].start()
 
     async def _add_worker(self, name, zone):
         """Start the worker beside an agent, behind a relay of its own."""
         url = f"http://{self.own(name)}:{CONTROL_PORT}"
-        worker = NamedWorker(SERVICE, zone, url, observe=self.witness.observe)
-        worker.name = name
+        worker = NamedWorker(name, SERVICE, zone, url, observe=self.witness.observe)
         worker.id = f"i-{name}"
         worker.faults.clock_rate = self.rng.uniform(0.98, 1.0)
         self.workers[name] = worker
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -221,7 +221,7 @@
 
 async def store_forgets(site, _callers, _rng, for_s):
     """Let the store drop its history."""
-    await _disturb(site, ("store",), for_s, site.store.forget, site.store.forget)
+    await _disturb(site, ("store",), for_s, site.store.compact, site.store.compact)
 
 
 # Workers.
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,10 +1,16 @@
 """The short soak of real processes; ``python -m tests.faults`` plays longer ones."""
 
 import asyncio
+import random
+import sys
 
 import pytest
 
+from tests.faults import trouble
 from tests.faults.__main__ import play
+from tests.faults.callers import Callers
+from tests.faults.programs import Program
+from tests.faults.site import Site
 
 # Seeds that failed once stay here, each with a line on its cause.
 # 107: after all was killed nobody was served for minutes; the soak looked up in /proc
@@ -20,3 +26,64 @@
         seen = asyncio.run(play(seed, tmp_path, for_s=8.0, faults=8))
         assert not seen["broken"], seen
         assert seen["answers"]["200"] > 12
+
+
+class IdleProgram(Program):
+    """A process that takes the signals of the soak and does nothing."""
+
+    _command = (sys.executable, "-c", "import time; time.sleep(60)")
+
+
+class TestKinds:
+    """Every kind of fault works with the stand-ins as they are."""
+
+    def test_kinds_use_only_what_the_stand_ins_have(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(trouble, "LATE_ORDERS_S", (0.1, 0.2))
+        errors, added = asyncio.run(run_kinds(tmp_path, draws=4))
+        assert errors == []
+        assert added == set()
+
+
+async def run_kinds(folder, draws):
+    """Run every kind some times, side by side, in a site without real programs.
+
+    Returns
+    -------
+    tuple
+        What they raised, and the attributes that they added to the stand-ins.
+    """
+    site = Site(1, folder, program=IdleProgram)
+    callers = Callers(site)
+    try:
+        await callers.start()
+        await site.start()
+        known = attributes_of(site)
+        kinds = dict.fromkeys(trouble.KINDS)
+        ends = await asyncio.gather(
+            *(
+                run_kind(site, callers, kind, draw)
+                for kind in kinds
+                for draw in range(draws)
+            )
+        )
+        added = attributes_of(site) - known
+    finally:
+        await callers.stop()
+        await site.stop()
+    return [each for each in ends if each], added
+
+
+async def run_kind(site, callers, kind, draw):
+    """Run a kind of fault once; return its name and error, or an empty text."""
+    try:
+        await kind(site, callers, random.Random(draw), 0.2)
+    except Exception as error:
+        return f"{kind.__name__}: {error!r}"
+    return ""
+
+
+def attributes_of(site):
+    """Return the names of all attributes of the stand-ins, each with its owner."""
+    workers = site.workers.values()
+    owners = [site.store, *workers, *(each.faults for each in workers)]
+    return {f"{type(each).__name__}.{name}" for each in owners for name in vars(each)}
