Let callers of the soak leave before their answer and ask elsewhere

Every caller of the soak waited until its deadline, so no job was ever asked for at a second entry while the first one could still run it: two runs of a task that users saw could not come up. Some jobs now have long runs; their callers wait 1.5 s, close the connection and ask the next entry 1.3 s later, and a quarter of them leave for good.

An end of a request counts as the caller's own after the time that it waits, instead of its deadline; for the callers that wait until their deadline nothing changes.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -23,7 +23,7 @@
 LAG_EVERY_S = 0.05
 
 
-async def play(seed, folder, for_s=12.0, faults=12):
+async def play(seed, folder, for_s=12.0, faults=12, kinds=KINDS):
     """Play one seed; return what was seen.
 
     Parameters
@@ -36,6 +36,8 @@
         Seconds of traffic.
     faults : int
         How many begin in that time.
+    kinds : sequence of callable
+        The kinds of fault to draw from.
 
     Returns
     -------
@@ -52,7 +54,7 @@
         await site.start()
         if not await until_served(callers):
             site.witness.break_promise("never ready")
-        plan = _plan(random.Random(seed), for_s, faults)
+        plan = _plan(random.Random(seed), for_s, faults, kinds)
         series = [
             asyncio.create_task(_begin(site, callers, at_s, kind, number, lasts_s))
             for number, (at_s, kind, lasts_s) in enumerate(plan)
@@ -96,10 +98,10 @@
     return False
 
 
-def _plan(rng, for_s, faults):
+def _plan(rng, for_s, faults, kinds):
     """Return when which faults begin, and how long each lasts."""
     plan = [
-        (rng.uniform(0.0, for_s), rng.choice(KINDS), rng.uniform(0.3, LONGEST_FAULT_S))
+        (rng.uniform(0.0, for_s), rng.choice(kinds), rng.uniform(0.3, LONGEST_FAULT_S))
         for _ in range(faults)
     ]
     return sorted(plan, key=lambda each: each[0])
@@ -109,7 +111,9 @@
     """Let one fault begin at its time."""
     await asyncio.sleep(at_s)
     rng = random.Random(f"{kind.__name__} {number} {at_s}")
+    site.witness.note("fault_began", fault=kind.__name__, lasts_s=lasts_s)
     await kind(site, callers, rng, lasts_s)
+    site.witness.note("fault_ended", fault=kind.__name__)
 
 
 async def _check_recovery(site, callers):
@@ -126,6 +130,23 @@
         site.witness.break_promise("runs left over")
 
 
+def _kinds(text):
+    """Return the kinds of fault with some names, divided by commas.
+
+    Raises
+    ------
+    argparse.ArgumentTypeError
+        If there is no kind with one of the names.
+    """
+    known = {each.__name__: each for each in KINDS}
+    names = text.split(",")
+    unknown = sorted(set(names) - set(known))
+    if unknown:
+        message = f"unknown: {', '.join(unknown)}; known: {', '.join(known)}"
+        raise argparse.ArgumentTypeError(message)
+    return tuple(known[each] for each in names)
+
+
 def main():
     """Play seeds; return 1 if a promise was broken."""
     parser = argparse.ArgumentParser(prog="tests.faults", description=__doc__)
@@ -133,6 +154,7 @@
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--faults", type=int, default=12)
+    parser.add_argument("--kinds", type=_kinds, default=KINDS, help="kinds of fault")
     parser.add_argument("--keep", type=Path, help="folder that keeps the logs")
     parsed = parser.parse_args()
     broken = 0
@@ -140,7 +162,9 @@
         with tempfile.TemporaryDirectory() as scratch:
             folder = Path(scratch) if parsed.keep is None else parsed.keep / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-            seen = uvloop.run(play(seed, folder, parsed.seconds, parsed.faults))
+            seen = uvloop.run(
+                play(seed, folder, parsed.seconds, parsed.faults, parsed.kinds)
+            )
         print(json.dumps(seen), flush=True)
         broken += bool(seen["broken"])
     print(f"{parsed.count} seeds, {broken} with a broken promise")
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -10,10 +11,47 @@
 
 RETRY_S = 1.3
 PATIENCE_S = 0.5
-MOST_ATTEMPTS = 4
 REPEATED = frozenset({502, 504})
-# Tasks, run time in seconds and the caller's patience, of each kind of job.
-KINDS = (((8, 0.06, 2.0), 0.25), ((4, 0.7, 6.0), 0.1), ((2, 0.2, 3.0), 0.65))
+# Some callers leave for good after their first attempt.
+LEAVING_SHARE = 0.25
+LEAVING_NOTICE_S = 0.02
+
+
+@dataclass(frozen=True)
+class JobKind:
+    """What jobs of a kind have in common.
+
+    Attributes
+    ----------
+    tasks : int
+        How many at most.
+    run_s : float
+        Mean run time.
+    deadline_s : float
+        How long an attempt may take.
+    weight : float
+        How often such jobs come, relative to the others.
+    wait_s : float or None
+        How long a caller waits before it asks elsewhere; None if until the deadline.
+        The last attempt waits until the deadline.
+    attempts : int
+        How many a caller makes at most.
+    """
+
+    tasks: int
+    run_s: float
+    deadline_s: float
+    weight: float
+    wait_s: float | None = None
+    attempts: int = 4
+
+
+SHORT_KINDS = (
+    JobKind(8, 0.06, 2.0, 0.25),
+    JobKind(4, 0.7, 6.0, 0.1),
+    JobKind(2, 0.2, 3.0, 0.65),
+)
+KINDS = (*SHORT_KINDS, JobKind(2, 3.0, 8.0, 0.12, wait_s=1.5, attempts=3))
 
 
 class Callers:
@@ -23,6 +61,15 @@
     ----------
     site : Site
         Where.
+
+    Attributes
+    ----------
+    terms : list of tuple
+        The planned stops: the entry and when it was asked to stop.
+    statuses : list of int or None
+        Of the last attempt of each job.
+    on_leaving : list of callable
+        Called with an entry's name just before a caller leaves it without an answer.
     """
 
     def __init__(self, site):
@@ -33,6 +80,7 @@
         self._tasks = set()
         self.terms = []
         self.statuses = []
+        self.on_leaving = []
 
     async def start(self):
         """Open the connections."""
@@ -48,7 +96,7 @@
         rng = self._site.rng
         ends_at = self._now() + for_s
         while self._now() < ends_at:
-            task = asyncio.create_task(self.submit())
+            task = asyncio.create_task(self.submit(KINDS))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(rng.expovariate(per_s))
@@ -58,26 +106,34 @@
         while self._tasks:
             await asyncio.gather(*tuple(self._tasks))
 
-    async def submit(self):
+    async def submit(self, kinds=SHORT_KINDS):
         """Hand one job in until it is answered; return the last `Attempt`."""
         rng = self._site.rng
-        kinds, weights = zip(*KINDS, strict=True)
-        tasks, run_s, deadline_s = rng.choices(kinds, weights)[0]
-        spec = f"{run_s * rng.uniform(0.5, 1.5):.3f}"
+        kind = rng.choices(kinds, [each.weight for each in kinds])[0]
+        spec = f"{kind.run_s * rng.uniform(0.5, 1.5):.3f}"
         name = f"{rng.getrandbits(64):016x}"
-        job = Job(name, spec, rng.randint(1, tasks), 6000, deadline_s)
+        job = Job(name, spec, rng.randint(1, kind.tasks), 6000, kind.deadline_s)
         self._witness.jobs[job.id] = job
         entries = list(self._site.entries)
         rng.shuffle(entries)
-        for number in range(MOST_ATTEMPTS):
-            attempt = Attempt(entries[number % len(entries)], self._now())
+        leaves = kind.wait_s is not None and rng.random() < LEAVING_SHARE
+        for number in range(1 if leaves else kind.attempts):
+            last = number == kind.attempts - 1
+            wait_s = None if last else kind.wait_s
+            attempt = Attempt(
+                entries[number % len(entries)],
+                self._now(),
+                kind.deadline_s if wait_s is None else wait_s,
+            )
             job.attempts.append(attempt)
-            await self._ask(job, attempt)
+            self._witness.asked(job, attempt)
+            await self._ask(job, attempt, wait_s)
             attempt.ended_at = self._now()
             self._witness.answered(job, attempt, self.terms)
             if attempt.status is not None and attempt.status not in REPEATED:
                 break
-            await asyncio.sleep(RETRY_S)
+            if not leaves:
+                await asyncio.sleep(RETRY_S)
         self.statuses.append(attempt.status)
         return attempt
 
@@ -94,8 +150,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
 
-    async def _ask(self, job, attempt):
-        """Make one attempt."""
+    async def _ask(self, job, attempt, wait_s):
+        """Make one attempt; leave after a time if one is given."""
         step = {
             "count": job.tasks,
             "cpu": job.cpu,
@@ -108,7 +164,11 @@
             "Deadline-Ms": str(int(job.deadline_s * 1000)),
             "Request-Id": f"{SERVICE}-{job.id}",
         }
-        limit = aiohttp.ClientTimeout(total=job.deadline_s + PATIENCE_S)
+        total_s = job.deadline_s + PATIENCE_S if wait_s is None else wait_s
+        limit = aiohttp.ClientTimeout(total=total_s)
+        notice = asyncio.get_running_loop().call_later(
+            total_s - LEAVING_NOTICE_S, self._announce_leaving, attempt.entry
+        )
         try:
             async with self._session.post(
                 f"{self._site.front(attempt.entry)}/p/{job.id}",
@@ -121,3 +181,10 @@
                 attempt.state = answer.get("state", "")
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             attempt.status = None
+        finally:
+            notice.cancel()
+
+    def _announce_leaving(self, entry):
+        """Call those who want to know that a caller is about to leave an entry."""
+        for each in tuple(self.on_leaving):
+            each(entry)
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -61,7 +61,7 @@
         self._program = program
         self.rng = random.Random(seed)
         self.links = Links()
-        self.witness = Witness(MAX_ATTEMPTS, self.links)
+        self.witness = Witness(MAX_ATTEMPTS, self.links, folder / "witness.log")
         self.store = PlatformStore()
         self.entries = [f"entry-{each}" for each in range(entries)]
         self.agents = [f"agent-{each}" for each in range(agents)]
@@ -116,6 +116,7 @@
         for relay in self._relays:
             await relay.stop()
         await self.store.stop()
+        self.witness.close()
 
     async def configure(self, changed=False):
         """Write the configuration, with or without a second route."""
--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -1,6 +1,8 @@
 """The witness: checks the promises by what workers, callers and the store see."""
 
 import asyncio
+import json
+import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
@@ -20,12 +22,15 @@
 
     Attributes
     ----------
+    wait_s : float
+        Time after which the caller may have left by itself.
     status : int or None
         Of the answer; None if the connection broke or nothing came in time.
     """
 
     entry: str
     sent_at: float
+    wait_s: float
     status: int | None = None
     state: str = ""
     ended_at: float = 0.0
@@ -55,11 +60,14 @@
         Failed runs of a task that make its job fail.
     links : Links
         Knows which connections were refused, so that nothing was read from them.
+    log : Path
+        Takes what is seen, in the format of the programs' logs.
     """
 
-    def __init__(self, max_attempts, links):
+    def __init__(self, max_attempts, links, log):
         self._max_attempts = max_attempts
         self._links = links
+        self._log = log.open("a", buffering=1)
         self._now = asyncio.get_running_loop().time
         self._disturbed = defaultdict(list)
         self._evacuated_at = {}
@@ -71,6 +79,16 @@
         """Take note of a broken promise."""
         told = ", ".join(f"{name}={value}" for name, value in facts.items())
         self.broken.append(f"{self._now():.3f} {promise}: {told}")
+        self.note("promise_broken", promise=promise, told=told)
+
+    def note(self, event, **facts):
+        """Write an event to the log."""
+        line = {"time": round(time.time(), 4), "process": "witness", "event": event}
+        self._log.write(f"{json.dumps(line | facts)}\n")
+
+    def close(self):
+        """Close the log."""
+        self._log.close()
 
     # Disturbances.
 
@@ -80,10 +98,12 @@
         for place in places:
             spans.append([self._now(), float("inf")])
             self._disturbed[place].append(spans[-1])
+        self.note("disturbance_began", places=places)
 
         def end():
             for span in spans:
                 span[1] = self._now()
+            self.note("disturbance_ended", places=places)
 
         return end
 
@@ -111,6 +131,8 @@
             self._started(worker, order)
             return
         job_id, _, _, index = order[0].split(".")
+        facts = {"task": order[0], "run_id": order[1], "end": how}
+        self.note("run_ended", job=job_id, worker=worker.name, **facts)
         job = self.jobs.get(job_id)
         if job is not None and how == "done":
             job.done.add(int(index))
@@ -121,6 +143,8 @@
         """Check a start."""
         task = order["task"]
         job_id, occurrence, step, index = task.split(".")
+        facts = {"task": task, "run_id": order["run_id"]}
+        self.note("run_started", job=job_id, worker=worker.name, **facts)
         job = self.jobs.get(job_id)
         known = job is not None and (occurrence, step) == ("0", "0")
         if not known or int(index) >= job.tasks or order["spec"] != job.spec:
@@ -168,6 +192,11 @@
 
     # What callers see.
 
+    def asked(self, job, attempt):
+        """Take note of an attempt that begins."""
+        facts = {"tasks": job.tasks, "spec": job.spec, "wait_s": attempt.wait_s}
+        self.note("asked", job=job.id, entry=attempt.entry, **facts)
+
     def answered(self, job, attempt, terms):
         """Check one answer, or its absence.
 
@@ -176,6 +205,8 @@
         terms : list of tuple
             The planned stops: the entry and when it was asked to stop.
         """
+        facts = {"status": attempt.status, "state": attempt.state}
+        self.note("answered", job=job.id, entry=attempt.entry, **facts)
         if attempt.state == "completed" and len(job.done) < job.tasks:
             self.break_promise("partial answer", job=job.id, done=len(job.done))
         if attempt.state == "failed":
@@ -190,7 +221,7 @@
         if self._links.take_refusal("callers", attempt.entry, attempt.sent_at):
             return
         held_s = attempt.ended_at - attempt.sent_at
-        if held_s < LOSS_SLACK_S or held_s >= job.deadline_s:
+        if held_s < LOSS_SLACK_S or held_s >= attempt.wait_s:
             return
         for entry, asked_at in terms:
             mine = entry == attempt.entry and asked_at < attempt.ended_at
