Let the soak disturb the connections between callers and an entry

Every fault of the soak on connections left callers out, apart from short delays and resets that both ends saw. Four kinds are new: open connections go silent for good, bytes and ends of connections are held, the callers' side is reset without a word to the entry, and bytes arrive late.

Such a fault counts as a disturbance of the callers' side of an entry, which only excuses cut requests and late answers to a route's question; the entry itself stays bound to the operators' orders. Before the last check callers drop connections that were silenced.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -118,6 +118,7 @@
 
 async def _check_recovery(site, callers):
     """Check that everybody is served again, and that no process ended by itself."""
+    site.links.reset_muted()
     attempts = [await callers.submit() for _ in range(LAST_JOBS)]
     unserved = sum(each.state != "completed" for each in attempts)
     if unserved:
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -41,7 +41,7 @@
     writers : tuple
         The writers to both ends.
     muted : bool
-        Whether nothing passes any more.
+        Whether nothing passes any more, not even an end or a reset.
     """
 
     source: str
@@ -94,6 +94,19 @@
         for each in self.open:
             each.muted |= applies(each.source, each.target)
 
+    def reset_source(self, applies):
+        """Reset whoever opened a connection; the other end is not told."""
+        for each in tuple(self.open):
+            if applies(each.source, each.target):
+                each.muted = True
+                _abort(each.writers[0])
+
+    def reset_muted(self):
+        """Reset whoever opened a muted connection, so that nobody uses it again."""
+        muted = {each for each in self.open if each.muted}
+        for each in muted:
+            _abort(each.writers[0])
+
     async def cross(self, passage, inward):
         """Return when bytes may go on, to whoever listens or back from there."""
         while passage.muted:
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -8,11 +8,13 @@
 import signal
 
 from tests.faults.links import Disturbance
+from tests.faults.witness import callers_of
 
 LATE_ORDERS_S = (2.0, 12.0)
 WORKER_DOWN_S = (0.2, 1.5)
 ROUTE_PATH = "/extra/"
 ASK_EVERY_S = 0.25
+CALLERS_DELAY_S = (0.1, 1.0)
 
 
 def _anyone(site, rng):
@@ -175,6 +177,44 @@
     over()
 
 
+# Connections of callers.
+
+
+async def mute_callers(site, _callers, rng, for_s):
+    """Silence the open connections between callers and an entry for good."""
+    entry = rng.choice(site.entries)
+    over = site.witness.begin((callers_of(entry),))
+    site.links.mute(lambda *ends: ends == ("callers", entry))
+    await asyncio.sleep(for_s)
+    over()
+
+
+async def cut_callers(site, _callers, rng, for_s):
+    """Hold all bytes between callers and an entry, and the ends of connections."""
+    entry = rng.choice(site.entries)
+    held = Disturbance(lambda *ends: set(ends) == {"callers", entry})
+    await _disturb_links(site, (callers_of(entry),), for_s, held)
+
+
+async def reset_callers(site, _callers, rng, for_s):
+    """Reset callers of an entry a few times; the entry is not told."""
+    entry = rng.choice(site.entries)
+    over = site.witness.begin((callers_of(entry),))
+    for _ in range(3):
+        site.links.reset_source(lambda *ends: ends == ("callers", entry))
+        await asyncio.sleep(for_s / 3)
+    over()
+
+
+async def delay_callers(site, _callers, rng, for_s):
+    """Let the bytes between callers and an entry arrive late."""
+    entry = rng.choice(site.entries)
+    late = Disturbance(
+        lambda *ends: set(ends) == {"callers", entry}, rng.uniform(*CALLERS_DELAY_S)
+    )
+    await _disturb_links(site, (callers_of(entry),), for_s, late)
+
+
 # The store.
 
 
@@ -303,7 +343,8 @@
         await asyncio.sleep(ASK_EVERY_S)
 
 
-KINDS = (
+# In this order for the seeds of tests.
+GENERAL_KINDS = (
     kill,
     kill,
     kill_all,
@@ -333,3 +374,5 @@
     evacuate,
     change_routes,
 )
+CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers)
+KINDS = (*GENERAL_KINDS, *CALLER_KINDS)
--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -16,6 +16,11 @@
 NOT_TAKEN = frozenset({400, 404, 413, 429, 503})
 
 
+def callers_of(entry):
+    """Return the name of the place where an entry's callers are."""
+    return f"callers of {entry}"
+
+
 @dataclass
 class Attempt:
     """One request of a caller.
@@ -225,14 +230,16 @@
             return
         for entry, asked_at in terms:
             mine = entry == attempt.entry and asked_at < attempt.ended_at
-            calm = self.calm((entry,), asked_at - CONTACT_S, attempt.ended_at)
+            places = (entry, callers_of(entry))
+            calm = self.calm(places, asked_at - CONTACT_S, attempt.ended_at)
             if mine and attempt.ended_at - asked_at < 7.0 and calm:
                 self.break_promise("cut by a planned stop", job=job.id, entry=entry)
 
     def check_route(self, entry, status, wanted, ordered_at):
         """Check how an entry treats a route that operators added or dropped."""
         now = self._now()
-        late = now > ordered_at + CONFIGURED_S and self.in_touch((entry,), now)
+        places = (entry, callers_of(entry))
+        late = now > ordered_at + CONFIGURED_S and self.in_touch(places, now)
         if late and (status == 404) != (not wanted):
             self.break_promise("configuration", entry=entry, status=status)
 
