Refuse connections to a crashed worker of the soak

The relay before a worker's port accepted connections while the worker was down and reset them, so agents never saw a refused connection, which they take as the proof of a crash. The relay closes its listening socket while the worker is down.

test_port_of_a_crashed_worker_is_refused failed before: the second connection was "connected".

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -148,12 +148,29 @@
         self._host = host
         self._recognize = recognize
         self._server = None
+        self._closed_times = 0
         self._serving = set()
 
     async def start(self):
         """Begin to listen."""
         self._server = await asyncio.start_server(self._accept, *self._listen)
 
+    def close_port(self):
+        """Refuse new connections; the open ones stay.
+
+        The port opens with as many calls of `open_port`.
+        """
+        self._closed_times += 1
+        self._server.close()
+
+    async def open_port(self):
+        """Take connections again."""
+        self._closed_times -= 1
+        if not self._closed_times:
+            await self.start()
+        if self._closed_times:
+            self._server.close()
+
     async def stop(self):
         """Stop listening."""
         self._server.close()
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -24,11 +24,22 @@
 
 
 class NamedWorker(PlatformWorker):
-    """A stand-in worker with the name of the place that it shares with its agent."""
+    """A stand-in worker with a name, behind a relay.
 
-    def __init__(self, name, *args, **kwargs):
+    Parameters
+    ----------
+    name : str
+        The place that it shares with its agent.
+    relay : Relay
+        Stands before its port, and refuses connections while the worker is down.
+    *args, **kwargs
+        The parameters of `PlatformWorker`.
+    """
+
+    def __init__(self, name, relay, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.name = name
+        self.relay = relay
         self._crashing = False
 
     async def crash(self, down_s):
@@ -36,7 +47,9 @@
         if self._crashing:
             return
         self._crashing = True
+        self.relay.close_port()
         await super().crash(down_s)
+        await self.relay.open_port()
         self._crashing = False
 
 
@@ -161,17 +174,18 @@
 
     async def _add_worker(self, name, zone):
         """Start the worker beside an agent, behind a relay of its own."""
-        url = f"http://{self.own(name)}:{CONTROL_PORT}"
-        worker = NamedWorker(name, SERVICE, zone, url, observe=self.witness.observe)
-        worker.id = f"i-{name}"
-        worker.faults.clock_rate = self.rng.uniform(0.98, 1.0)
-        self.workers[name] = worker
         place = f"worker of {name}"
         address = (self.told(name), APP)
         target = (self.own(name), APP)
         relay = Relay(self.links, place, address, target, name, self.own(name))
         self._relays.append(relay)
         await relay.start()
+        url = f"http://{self.own(name)}:{CONTROL_PORT}"
+        observe = self.witness.observe
+        worker = NamedWorker(name, relay, SERVICE, zone, url, observe=observe)
+        worker.id = f"i-{name}"
+        worker.faults.clock_rate = self.rng.uniform(0.98, 1.0)
+        self.workers[name] = worker
         await worker.start(self.own(name), APP, f"{self.told(name)}:{APP}")
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,7 +10,7 @@
 from tests.faults.__main__ import play
 from tests.faults.callers import Callers
 from tests.faults.programs import Program
-from tests.faults.site import Site
+from tests.faults.site import APP, Site
 
 # Seeds that failed once stay here, each with a line on its cause.
 # 107: after all was killed nobody was served for minutes; the soak looked up in /proc
@@ -44,6 +44,48 @@
         assert added == set()
 
 
+class TestWorkers:
+    """Workers fail towards their agents as processes do."""
+
+    def test_port_of_a_crashed_worker_is_refused(self, tmp_path):
+        assert asyncio.run(connect_to_worker(tmp_path, crash)) == [
+            "connected",
+            "refused",
+            "connected",
+        ]
+
+
+async def crash(site, name):
+    """Let a worker crash and boot again."""
+    await site.workers[name].crash(0.2)
+
+
+async def connect_to_worker(folder, disturb):
+    """Connect to a worker before, during and after a fault; return what was seen."""
+    site = Site(1, folder, program=IdleProgram)
+    name = site.agents[0]
+    try:
+        await site.start()
+        seen = [await connect(site.told(name))]
+        fault = asyncio.create_task(disturb(site, name))
+        await asyncio.sleep(0.1)
+        seen.append(await connect(site.told(name)))
+        await fault
+        return [*seen, await connect(site.told(name))]
+    finally:
+        await site.stop()
+
+
+async def connect(host):
+    """Connect to a worker's port; return whether that works."""
+    try:
+        _, writer = await asyncio.open_connection(host, APP)
+    except ConnectionRefusedError:
+        return "refused"
+    writer.close()
+    return "connected"
+
+
 async def run_kinds(folder, draws):
     """Run every kind some times, side by side, in a site without real programs.
 
