Let workers of the soak flap, and refuse connections while their runs go on

A worker that is back within 10 to 60 ms under the same id, and a live worker whose open connections are reset and whose port refuses new ones for a time, could not be played.

--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -14,6 +14,8 @@
 WORKER_DOWN_S = (0.2, 1.5)
 ROUTE_PATH = "/extra/"
 ASK_EVERY_S = 0.25
+FLAP_DOWN_S = (0.01, 0.06)
+REFUSED_LEAST_S = 0.02
 CALLERS_DELAY_S = (0.1, 1.0)
 
 
@@ -272,6 +274,27 @@
     await site.workers[rng.choice(site.agents)].crash(rng.uniform(*WORKER_DOWN_S))
 
 
+async def flap_worker(site, _callers, rng, for_s):
+    """Let a worker crash a few times and be back at once."""
+    worker = site.workers[rng.choice(site.agents)]
+    for _ in range(rng.randint(1, 3)):
+        await worker.crash(rng.uniform(*FLAP_DOWN_S))
+        await asyncio.sleep(for_s / 3)
+
+
+async def refuse_worker(site, _callers, rng, for_s):
+    """Reset a worker's connections and refuse new ones while its runs go on."""
+    name = rng.choice(site.agents)
+    relay = site.workers[name].relay
+    ends = {name, f"worker of {name}"}
+    over = site.witness.begin((name,))
+    relay.close_port()
+    site.links.reset(lambda *places: set(places) == ends)
+    await asyncio.sleep(rng.uniform(REFUSED_LEAST_S, for_s))
+    await relay.open_port()
+    over()
+
+
 async def failing_worker(site, _callers, rng, for_s):
     """Let a worker fail much of what it starts."""
     faults = site.workers[rng.choice(site.agents)].faults
@@ -375,4 +398,5 @@
     change_routes,
 )
 CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers)
-KINDS = (*GENERAL_KINDS, *CALLER_KINDS)
+WORKER_KINDS = (flap_worker, refuse_worker)
+KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -54,6 +54,19 @@
             "connected",
         ]
 
+    def test_port_of_a_live_worker_is_refused_for_a_time(self, tmp_path):
+        assert asyncio.run(connect_to_worker(tmp_path, refuse)) == [
+            "connected",
+            "refused",
+            "connected",
+        ]
+
+
+async def refuse(site, name):
+    """Refuse connections to a worker that lives on."""
+    site.agents = [name]
+    await trouble.refuse_worker(site, None, random.Random(1), 1.0)
+
 
 async def crash(site, name):
     """Let a worker crash and boot again."""
