Let the witness know that crashes under a task may end its job

In the three traces the task ran on 3, 3 and 4 workers when they crashed; a job is given up after three crashes that point to it (policy/crash_history.py), whoever caused them, and that was so before the kind was added. The check counts the crashes that workers had under a task, and still accuses when there were fewer than three: a run that is taken for crashed while its worker lives doesn't count.

--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -13,6 +13,8 @@
 EVACUATE_S = 5.0
 CONFIGURED_S = 2.0
 LOSS_SLACK_S = 0.2
+# Crashes of workers under a task after which its job may be given up.
+GIVEN_UP_CRASHES = 3
 NOT_TAKEN = frozenset({400, 404, 413, 429, 503})
 
 
@@ -54,6 +56,7 @@
     starts: int = 0
     done: set = field(default_factory=set)
     failures: Counter = field(default_factory=Counter)
+    crashes: Counter = field(default_factory=Counter)
 
 
 class Witness:
@@ -143,6 +146,8 @@
             job.done.add(int(index))
         if job is not None and how == "failed":
             job.failures[int(index)] += 1
+        if job is not None and how == "crashed":
+            job.crashes[int(index)] += 1
 
     def _started(self, worker, order):
         """Check a start."""
@@ -215,9 +220,11 @@
         if attempt.state == "completed" and len(job.done) < job.tasks:
             self.break_promise("partial answer", job=job.id, done=len(job.done))
         if attempt.state == "failed":
-            worst = max(job.failures.values(), default=0)
-            if worst < self._max_attempts:
-                self.break_promise("failed without cause", job=job.id, failures=worst)
+            failures = max(job.failures.values(), default=0)
+            crashes = max(job.crashes.values(), default=0)
+            if failures < self._max_attempts and crashes < GIVEN_UP_CRASHES:
+                facts = {"job": job.id, "failures": failures, "crashes": crashes}
+                self.break_promise("failed without cause", **facts)
         if attempt.status is None:
             self._check_cut(job, attempt, terms)
 
