Let stop messages of the soak be lost as callers leave

Connections between an entry and its agents go silent at the moment when a caller leaves the entry, so that the order to stop its runs is lost. The kind mute did that only by chance.

--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -217,6 +217,25 @@
     await _disturb_links(site, (callers_of(entry),), for_s, late)
 
 
+async def lose_stops(site, callers, rng, for_s):
+    """Silence an entry's open connections to agents whenever callers leave it."""
+    entry = rng.choice(site.entries)
+
+    def silence(left):
+        if left == entry:
+            site.links.mute(
+                lambda *ends: entry in ends and not set(ends).isdisjoint(site.agents)
+            )
+
+    await _disturb(
+        site,
+        (entry,),
+        for_s,
+        lambda: callers.on_leaving.append(silence),
+        lambda: callers.on_leaving.remove(silence),
+    )
+
+
 # The store.
 
 
@@ -397,6 +416,6 @@
     evacuate,
     change_routes,
 )
-CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers)
+CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers, lose_stops)
 WORKER_KINDS = (flap_worker, refuse_worker)
 KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS)
