--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -142,6 +142,17 @@
     await _disturb_links(site, (entry, *agents), for_s, Disturbance(applies))
 
 
+async def part_entries(site, _callers, rng, for_s):
+    """Keep an entry and the other entries from each other; agents hear them all."""
+    entry = rng.choice(site.entries)
+    others = set(site.entries) - {entry}
+
+    def applies(source, target):
+        return entry in (source, target) and bool({source, target} & others)
+
+    await _disturb_links(site, (entry,), for_s, Disturbance(applies))
+
+
 async def silence_worker(site, _callers, rng, for_s):
     """Silence a worker's calls, one way or both; it runs on."""
     name = rng.choice(site.agents)
@@ -427,4 +438,4 @@
 )
 CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers, lose_stops)
 WORKER_KINDS = (flap_worker, refuse_worker)
-KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS)
+KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS, part_entries)
