Let one seed of the soak be played by several processes at once

The seed alone picked the loopback network. The process picks a part of the network now. The order of faults and jobs does not depend on it.

--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -1,6 +1,7 @@
 """The site of a soak: processes, stand-ins and relays on loopback addresses."""
 
 import asyncio
+import os
 import random
 import re
 
@@ -21,6 +22,8 @@
 HOST_NAME = "a.example"
 APP, STORE = 8080, 8169
 MAX_ATTEMPTS = 3
+# Of one seed side by side.
+MAX_SITES = 125
 
 
 class NamedWorker(PlatformWorker):
@@ -61,7 +64,8 @@
     Parameters
     ----------
     seed : int
-        Also picks the loopback network, so that sites can run side by side.
+        Draws the jobs. Also picks the loopback network, together with the process,
+        so that sites can run side by side.
     folder : Path
         Takes settings and logs.
     entries, agents : int
@@ -71,7 +75,9 @@
     """
 
     def __init__(self, seed, folder, entries=3, agents=6, program=Program):
-        self._net = f"127.{16 + seed % 200}"
+        own = 2 * (os.getpid() % MAX_SITES) + 1
+        self._own_net = f"127.{16 + seed % 200}.{own}"
+        self._told_net = f"127.{16 + seed % 200}.{own + 1}"
         self._folder = folder
         self._program = program
         self.rng = random.Random(seed)
@@ -85,7 +91,7 @@
             for number, name in enumerate(["store", *self.entries, *self.agents], 1)
         }
         self._names = {number: name for name, number in self._numbers.items()}
-        told = rf"tcp://{re.escape(self._net)}\.2\.(\d+):{INNER_PORT}"
+        told = rf"tcp://{re.escape(self._told_net)}\.(\d+):{INNER_PORT}"
         self._told_pattern = re.compile(told.encode())
         self.programs = {}
         self._relays = []
@@ -99,11 +105,11 @@
 
     def own(self, name):
         """Return the host at which a place listens itself."""
-        return f"{self._net}.1.{self._numbers[name]}"
+        return f"{self._own_net}.{self._numbers[name]}"
 
     def told(self, name):
         """Return the host that others are told, where a relay listens."""
-        return f"{self._net}.2.{self._numbers[name]}"
+        return f"{self._told_net}.{self._numbers[name]}"
 
     def front(self, entry):
         """Return the URL at which callers reach an entry."""
