Let the test of a flapping worker bear a busy machine

Its bound of 0.1 s was near what the machine needs beside load. The server of the worker would now wait 5 s for the call that must end with the crash, and the bound is 2.5 s. Without the mend the test takes longer than that and fails.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,6 +14,8 @@
 from tests.faults.programs import Program
 from tests.faults.site import APP, Site
 
+# How long a worker's server waits for its calls when it stops.
+SHUTDOWN_S = 5.0
 # Seeds that failed once stay here, each with the kinds of fault that it draws from and
 # a line on its cause.
 # 107: after all was killed nobody was served for minutes; the soak looked up in /proc
@@ -72,7 +74,7 @@
         ]
 
     def test_flapping_worker_is_back_at_once(self, tmp_path):
-        assert asyncio.run(crash_beside_a_call(tmp_path)) < 0.1
+        assert asyncio.run(crash_beside_a_call(tmp_path)) < SHUTDOWN_S / 2
 
 
 async def crash_beside_a_call(folder):
@@ -82,6 +84,7 @@
     name = site.agents[0]
     try:
         await site.start()
+        site.workers[name]._runner._shutdown_timeout = SHUTDOWN_S
         call = asyncio.create_task(hold(site.told(name)))
         await asyncio.sleep(0.1)
         began = loop.time()
@@ -95,7 +98,7 @@
 
 async def hold(host):
     """Wait for an end of a run at a worker, until the connection ends."""
-    body = {"fencing_token": 1, "last_seen": 0, "wait_ms": 900}
+    body = {"fencing_token": 1, "last_seen": 0, "wait_ms": 1000 * SHUTDOWN_S}
     with contextlib.suppress(aiohttp.ClientError):
         async with aiohttp.ClientSession() as session:
             await session.post(f"http://{host}:{APP}/api/hold", json=body)
