--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -41,7 +41,7 @@
     writers : tuple
         The writers to both ends.
     muted : bool
-        Whether nothing passes any more.
+        Whether nothing passes any more, not even an end or a reset.
     """
 
     source: str
@@ -94,6 +94,19 @@
         for each in self.open:
             each.muted |= applies(each.source, each.target)
 
+    def reset_source(self, applies):
+        """Reset whoever opened a connection; the other end is not told."""
+        for each in tuple(self.open):
+            if applies(each.source, each.target):
+                each.muted = True
+                _abort(each.writers[0])
+
+    def reset_muted(self):
+        """Reset whoever opened a muted connection, so that nobody uses it again."""
+        muted = {each for each in self.open if each.muted}
+        for each in muted:
+            _abort(each.writers[0])
+
     async def cross(self, passage, inward):
         """Return when bytes may go on, to whoever listens or back from there."""
         while passage.muted:
@@ -135,12 +148,29 @@
         self._host = host
         self._recognize = recognize
         self._server = None
+        self._closed_times = 0
         self._serving = set()
 
     async def start(self):
         """Begin to listen."""
         self._server = await asyncio.start_server(self._accept, *self._listen)
 
+    def close_port(self):
+        """Refuse new connections; the open ones stay.
+
+        The port opens with as many calls of `open_port`.
+        """
+        self._closed_times += 1
+        self._server.close()
+
+    async def open_port(self):
+        """Take connections again."""
+        self._closed_times -= 1
+        if not self._closed_times:
+            await self.start()
+        if self._closed_times:
+            self._server.close()
+
     async def stop(self):
         """Stop listening."""
         self._server.close()
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -1,6 +1,7 @@
 """The site of a soak: processes, stand-ins and relays on loopback addresses."""
 
 import asyncio
+import os
 import random
 import re
 
@@ -21,12 +22,40 @@
 HOST_NAME = "a.example"
 APP, STORE = 8080, 8169
 MAX_ATTEMPTS = 3
+# Of one seed side by side.
+MAX_SITES = 125
 
 
 class NamedWorker(PlatformWorker):
-    """A stand-in worker with the name of the place that it shares with its agent."""
+    """A stand-in worker with a name, behind a relay.
 
-    name = ""
+    Parameters
+    ----------
+    name : str
+        The place that it shares with its agent.
+    relay : Relay
+        Stands before its port, and refuses connections while the worker is down.
+    *args, **kwargs
+        The parameters of `PlatformWorker`.
+    """
+
+    def __init__(self, name, relay, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.name = name
+        self.relay = relay
+        self._crashing = False
+
+    async def crash(self, down_s):
+        """Crash and boot again, unless it is down already."""
+        if self._crashing:
+            return
+        self._crashing = True
+        self.relay.close_port()
+        # A call that waits for an end would delay the crash.
+        self._run_ended.set()
+        await super().crash(down_s)
+        await self.relay.open_port()
+        self._crashing = False
 
 
 class Site:
@@ -35,19 +64,25 @@
     Parameters
     ----------
     seed : int
-        Also picks the loopback network, so that sites can run side by side.
+        Draws the jobs. Also picks the loopback network, together with the process,
+        so that sites can run side by side.
     folder : Path
         Takes settings and logs.
     entries, agents : int
         How many of each.
+    program : callable
+        Creates the processes, with the parameters of `Program`.
     """
 
-    def __init__(self, seed, folder, entries=3, agents=6):
-        self._net = f"127.{16 + seed % 200}"
+    def __init__(self, seed, folder, entries=3, agents=6, program=Program):
+        own = 2 * (os.getpid() % MAX_SITES) + 1
+        self._own_net = f"127.{16 + seed % 200}.{own}"
+        self._told_net = f"127.{16 + seed % 200}.{own + 1}"
         self._folder = folder
+        self._program = program
         self.rng = random.Random(seed)
         self.links = Links()
-        self.witness = Witness(MAX_ATTEMPTS, self.links)
+        self.witness = Witness(MAX_ATTEMPTS, self.links, folder / "witness.log")
         self.store = PlatformStore()
         self.entries = [f"entry-{each}" for each in range(entries)]
         self.agents = [f"agent-{each}" for each in range(agents)]
@@ -56,7 +91,7 @@
             for number, name in enumerate(["store", *self.entries, *self.agents], 1)
         }
         self._names = {number: name for name, number in self._numbers.items()}
-        told = rf"tcp://{re.escape(self._net)}\.2\.(\d+):{INNER_PORT}"
+        told = rf"tcp://{re.escape(self._told_net)}\.(\d+):{INNER_PORT}"
         self._told_pattern = re.compile(told.encode())
         self.programs = {}
         self._relays = []
@@ -70,11 +105,11 @@
 
     def own(self, name):
         """Return the host at which a place listens itself."""
-        return f"{self._net}.1.{self._numbers[name]}"
+        return f"{self._own_net}.{self._numbers[name]}"
 
     def told(self, name):
         """Return the host that others are told, where a relay listens."""
-        return f"{self._net}.2.{self._numbers[name]}"
+        return f"{self._told_net}.{self._numbers[name]}"
 
     def front(self, entry):
         """Return the URL at which callers reach an entry."""
@@ -102,6 +137,7 @@
         for relay in self._relays:
             await relay.stop()
         await self.store.stop()
+        self.witness.close()
 
     async def configure(self, changed=False):
         """Write the configuration, with or without a second route."""
@@ -141,23 +177,23 @@
         listen = f"tcp://{self.own(name)}:{INNER_PORT}"
         log = self._folder / f"{name}.log"
         role = name.partition("-")[0]
-        self.programs[name] = Program(name, role, settings, listen, log)
+        self.programs[name] = self._program(name, role, settings, listen, log)
         await self.programs[name].start()
 
     async def _add_worker(self, name, zone):
         """Start the worker beside an agent, behind a relay of its own."""
-        url = f"http://{self.own(name)}:{CONTROL_PORT}"
-        worker = NamedWorker(SERVICE, zone, url, observe=self.witness.observe)
-        worker.name = name
-        worker.id = f"i-{name}"
-        worker.faults.clock_rate = self.rng.uniform(0.98, 1.0)
-        self.workers[name] = worker
         place = f"worker of {name}"
         address = (self.told(name), APP)
         target = (self.own(name), APP)
         relay = Relay(self.links, place, address, target, name, self.own(name))
         self._relays.append(relay)
         await relay.start()
+        url = f"http://{self.own(name)}:{CONTROL_PORT}"
+        observe = self.witness.observe
+        worker = NamedWorker(name, relay, SERVICE, zone, url, observe=observe)
+        worker.id = f"i-{name}"
+        worker.faults.clock_rate = self.rng.uniform(0.98, 1.0)
+        self.workers[name] = worker
         await worker.start(self.own(name), APP, f"{self.told(name)}:{APP}")
 
 
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -8,11 +8,15 @@
 import signal
 
 from tests.faults.links import Disturbance
+from tests.faults.witness import callers_of
 
 LATE_ORDERS_S = (2.0, 12.0)
 WORKER_DOWN_S = (0.2, 1.5)
 ROUTE_PATH = "/extra/"
 ASK_EVERY_S = 0.25
+FLAP_DOWN_S = (0.01, 0.06)
+REFUSED_LEAST_S = 0.02
+CALLERS_DELAY_S = (0.1, 1.0)
 
 
 def _anyone(site, rng):
@@ -138,6 +142,17 @@
     await _disturb_links(site, (entry, *agents), for_s, Disturbance(applies))
 
 
+async def part_entries(site, _callers, rng, for_s):
+    """Keep an entry and the other entries from each other; agents hear them all."""
+    entry = rng.choice(site.entries)
+    others = set(site.entries) - {entry}
+
+    def applies(source, target):
+        return entry in (source, target) and bool({source, target} & others)
+
+    await _disturb_links(site, (entry,), for_s, Disturbance(applies))
+
+
 async def silence_worker(site, _callers, rng, for_s):
     """Silence a worker's calls, one way or both; it runs on."""
     name = rng.choice(site.agents)
@@ -175,6 +190,63 @@
     over()
 
 
+# Connections of callers.
+
+
+async def mute_callers(site, _callers, rng, for_s):
+    """Silence the open connections between callers and an entry for good."""
+    entry = rng.choice(site.entries)
+    over = site.witness.begin((callers_of(entry),))
+    site.links.mute(lambda *ends: ends == ("callers", entry))
+    await asyncio.sleep(for_s)
+    over()
+
+
+async def cut_callers(site, _callers, rng, for_s):
+    """Hold all bytes between callers and an entry, and the ends of connections."""
+    entry = rng.choice(site.entries)
+    held = Disturbance(lambda *ends: set(ends) == {"callers", entry})
+    await _disturb_links(site, (callers_of(entry),), for_s, held)
+
+
+async def reset_callers(site, _callers, rng, for_s):
+    """Reset callers of an entry a few times; the entry is not told."""
+    entry = rng.choice(site.entries)
+    over = site.witness.begin((callers_of(entry),))
+    for _ in range(3):
+        site.links.reset_source(lambda *ends: ends == ("callers", entry))
+        await asyncio.sleep(for_s / 3)
+    over()
+
+
+async def delay_callers(site, _callers, rng, for_s):
+    """Let the bytes between callers and an entry arrive late."""
+    entry = rng.choice(site.entries)
+    late = Disturbance(
+        lambda *ends: set(ends) == {"callers", entry}, rng.uniform(*CALLERS_DELAY_S)
+    )
+    await _disturb_links(site, (callers_of(entry),), for_s, late)
+
+
+async def lose_stops(site, callers, rng, for_s):
+    """Silence an entry's open connections to agents whenever callers leave it."""
+    entry = rng.choice(site.entries)
+
+    def silence(left):
+        if left == entry:
+            site.links.mute(
+                lambda *ends: entry in ends and not set(ends).isdisjoint(site.agents)
+            )
+
+    await _disturb(
+        site,
+        (entry,),
+        for_s,
+        lambda: callers.on_leaving.append(silence),
+        lambda: callers.on_leaving.remove(silence),
+    )
+
+
 # The store.
 
 
@@ -221,7 +293,7 @@
 
 async def store_forgets(site, _callers, _rng, for_s):
     """Let the store drop its history."""
-    await _disturb(site, ("store",), for_s, site.store.forget, site.store.forget)
+    await _disturb(site, ("store",), for_s, site.store.compact, site.store.compact)
 
 
 # Workers.
@@ -232,6 +304,36 @@
     await site.workers[rng.choice(site.agents)].crash(rng.uniform(*WORKER_DOWN_S))
 
 
+async def flap_worker(site, _callers, rng, for_s):
+    """Let a worker crash a few times and be back at once.
+
+    Its agent sees its connections end or, as after a loss of power, go silent.
+    """
+    name = rng.choice(site.agents)
+    ends = {name, f"worker of {name}"}
+    silently = rng.random() < 0.5
+    over = site.witness.begin((name,))
+    for _ in range(rng.randint(1, 3)):
+        if silently:
+            site.links.mute(lambda *places: set(places) == ends)
+        await site.workers[name].crash(rng.uniform(*FLAP_DOWN_S))
+        await asyncio.sleep(for_s / 3)
+    over()
+
+
+async def refuse_worker(site, _callers, rng, for_s):
+    """Reset a worker's connections and refuse new ones while its runs go on."""
+    name = rng.choice(site.agents)
+    relay = site.workers[name].relay
+    ends = {name, f"worker of {name}"}
+    over = site.witness.begin((name,))
+    relay.close_port()
+    site.links.reset(lambda *places: set(places) == ends)
+    await asyncio.sleep(rng.uniform(REFUSED_LEAST_S, for_s))
+    await relay.open_port()
+    over()
+
+
 async def failing_worker(site, _callers, rng, for_s):
     """Let a worker fail much of what it starts."""
     faults = site.workers[rng.choice(site.agents)].faults
@@ -303,7 +405,8 @@
         await asyncio.sleep(ASK_EVERY_S)
 
 
-KINDS = (
+# In this order for the seeds of tests.
+GENERAL_KINDS = (
     kill,
     kill,
     kill_all,
@@ -333,3 +436,6 @@
     evacuate,
     change_routes,
 )
+CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers, lose_stops)
+WORKER_KINDS = (flap_worker, refuse_worker)
+KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS, part_entries)
