Ignore ends that an agent without the assignment reports

Found in the review of the change. After a quick restart of an entry its new process saw, in requests for renewals, the numbers of runs that its predecessor had assigned, stopped them, and took the agents' answers for the ends of its own runs with the same numbers at other agents, which it then started again. An end counts only from the agent that has the assignment, and each process begins its numbers at random. The plays' frozen processes no longer hand what waits to their successor.

--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -43,9 +43,12 @@
         Times and bounds.
     rng : random.Random
         Breaks ties between workers.
+    first_number : int
+        Number of the first assignment. Agents may still name assignments of a former
+        process at the same address, so that it should differ for each process.
     """
 
-    def __init__(self, settings, rng):
+    def __init__(self, settings, rng, first_number=1):
         self._settings = settings
         self._records = {}
         self._waiting = WaitingJobs()
@@ -65,6 +68,7 @@
             self._risky_jobs,
             self._outstanding,
             self._late_work,
+            first_number,
         )
         self._shared_jobs = SharedJobs(
             settings,
@@ -239,7 +243,8 @@
         if message.crash is not None:
             effects += self._record_crash(sender, message.crash, now)
         for number, end, run_ms in message.ends:
-            effects += self._run_ended(worker, number, end, run_ms, now)
+            if self._is_assigned_to(number, sender):
+                effects += self._run_ended(worker, number, end, run_ms, now)
         if worker is not None:
             worker.last_contact_at = now
             worker.on_free_reported(message.free_resources, now)
@@ -488,6 +493,14 @@
         stopped = events.runs_unwanted(agent, unwanted)
         return [stopped, Send(agent, StopRuns(unwanted))]
 
+    def _is_assigned_to(self, number, agent):
+        """Return whether an agent has an assignment of that number.
+
+        An agent may still have runs of a former process at this address.
+        """
+        assignment = self._outstanding.get(number)
+        return assignment is not None and assignment[1].agent == agent.incarnation
+
     def _is_wanted(self, assignment):
         """Return whether an assignment, a record and a task, is one of an open job."""
         if assignment is None:
--- a/ragwortlug/jobs/run_assigner.py
+++ b/ragwortlug/jobs/run_assigner.py
@@ -25,16 +25,20 @@
         task.
     late_work : dict
         The `LateWork` of each service, which counts the starts.
+    first_number : int
+        Number of the first assignment.
     """
 
-    def __init__(self, workers, waiting_jobs, risky_jobs, outstanding, late_work):
+    def __init__(
+        self, workers, waiting_jobs, risky_jobs, outstanding, late_work, first_number
+    ):
         self._workers = workers
         self._waiting_jobs = waiting_jobs
         self._risky_jobs = risky_jobs
         self._outstanding = outstanding
         self._late_work = late_work
         self._demand_notifier = DemandNotifier(workers)
-        self._next_number = 0
+        self._next_number = first_number
         self._due = True
 
     def request(self):
@@ -149,8 +153,8 @@
 
     def _assign(self, record, task, worker, now):
         """Record the assignment of a task to a worker and return its `Run`."""
-        self._next_number += 1
         number = self._next_number
+        self._next_number += 1
         step = record.job.steps[task.step]
         self._count_start(record, task, now)
         record.assign(task, number, worker.peer.incarnation, now)
--- a/ragwortlug/platform/compose_entry.py
+++ b/ragwortlug/platform/compose_entry.py
@@ -11,6 +11,8 @@
 from ragwortlug.platform.store import OrdersWatch, StoreClient
 from ragwortlug.shutdown import DispatchShutdown
 
+NUMBER_BITS = 48
+
 
 def compose(settings, journal):
     """Return the kernel of an entry that dispatches restartable jobs."""
@@ -18,7 +20,8 @@
     gossip = kernel.register(
         "gossip", Gossip(settings.entries, peers, timer, metrics, journal)
     )
-    dispatcher = Dispatcher(settings.restart, random.Random())
+    rng = random.Random()
+    dispatcher = Dispatcher(settings.restart, rng, rng.getrandbits(NUMBER_BITS))
     actor = kernel.register(
         "dispatcher",
         DispatcherActor(dispatcher, gossip, peers, timer, metrics, journal),
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -35,6 +35,8 @@
 from ragwortlug.restartable_model import Orders
 
 TICK_S = 0.05
+# More than any process of a play makes.
+MAX_ASSIGNMENTS = 1_000_000
 LOCAL_S = 0.0005
 WATCHES = 2
 
@@ -55,8 +57,8 @@
         if not self.alive or boot not in (None, self.boots):
             return
         if self.play.now < self.frozen_until:
-            wait = self.frozen_until - self.play.now
-            self.play.at(wait, lambda: self.run(decide, self.boots))
+            wait, boot = self.frozen_until - self.play.now, self.boots
+            self.play.at(wait, lambda: self.run(decide, boot))
             return
         self.perform(decide(self.play.now) or ())
 
@@ -270,7 +272,8 @@
         self.alive = True
         self.peer = Peer(self.name, f"{self.name}-{self.boots}")
         rng = random.Random(f"{self.play.seed} {self.name} {self.boots}")
-        self.dispatcher = Dispatcher(self.play.settings, rng)
+        first_number = self.boots * MAX_ASSIGNMENTS
+        self.dispatcher = Dispatcher(self.play.settings, rng, first_number)
         self.dispatcher.on_orders_changed(Orders(1, self.play.table), self.play.now)
         boot = self.boots
         self.play.at(0.0, lambda: self.tick(boot))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -52,6 +52,28 @@
         assert [each.index for each in last] == [1]
 
 
+class TestNumbersOfFormerProcess:
+    """Agents still have runs of a former process at the same address."""
+
+    def test_an_end_that_another_agent_reports_does_not_end_a_run(self):
+        dispatcher = Dispatcher(SETTINGS, random.Random(1))
+        old, agent = (
+            Peer(f"tcp://10.1.0.{each}:1", f"agent-{each}") for each in (1, 2)
+        )
+        room = Resources(6000, 64, 0)
+        state = WorkerState("carving", "patan", (), room, room, True)
+        full = WorkerState("carving", "patan", (), room, Resources(), True)
+        dispatcher.on_renewal(old, Renewal(0, full, (1,)), 0.0)
+        dispatcher.on_renewal(agent, Renewal(0, state), 0.0)
+        job = RestartableJob("00c0ffee00c0ffee", "text", (Step(1, room, 100),))
+        queue = Queue("q", "a.example", "/q/", "carving")
+        (run,) = _ordered(dispatcher.submit("r1", job, queue, 9.0, 0.0), agent)
+        assert run.number == 1
+        ended = RunsEnded(((1, RunEnd.NOT_STARTED, 0.0),), room)
+        assert _ordered(dispatcher.on_runs_ended(old, ended, 0.1)) == []
+        assert dispatcher.running_tasks == 1
+
+
 class TestRefusals:
     """Jobs of which nothing has started are refused as not run."""
 
