Close gaps between giving up a job and taking it over

Price: a job of an entry that was killed starts again up to 0.25 s later, since its next entry waits until 1.5 s after the last announcement.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -12,6 +12,7 @@
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
     AttachRequest,
+    CancelJob,
     DetachRequest,
     Offer,
     OpenJobs,
@@ -36,11 +37,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitWork:
-    """A request to run a job until a deadline, in monotonic seconds."""
+    """A request to run a job, with its arrival and deadline in monotonic seconds."""
 
     request_id: str
     job: RestartableJob
     queue: Queue
+    arrived: float
     deadline: float
 
 
@@ -81,6 +83,7 @@
             RequestAttached: dispatcher.shared_jobs.on_request_attached,
             AttachedRequestEnded: dispatcher.shared_jobs.on_attached_request_ended,
             DetachRequest: dispatcher.on_detach_request,
+            CancelJob: dispatcher.on_cancel_job,
         }
         for message_type, decide in decisions.items():
             self._register_decision(message_type, decide)
@@ -137,7 +140,8 @@
         self._waiting[request_id] = future
         started_at = self._timer.monotonic()
         if self._admit(job):
-            self.post(None, SubmitWork(request_id, job, queue, started_at + limit_s))
+            deadline = started_at + limit_s
+            self.post(None, SubmitWork(request_id, job, queue, started_at, deadline))
         else:
             code = Code.ENTRY_OVERLOADED
             self._perform(self._dispatcher.refuse(request_id, job.id, code))
@@ -172,11 +176,18 @@
         return self._timer.monotonic() - started_at
 
     def _on_submit(self, event):
-        """Pass a submission to the dispatcher."""
+        """Pass a submission to the dispatcher, unless its caller has left."""
+        if event.request_id not in self._waiting:
+            return
         now = self._timer.monotonic()
         self._perform(
             self._dispatcher.submit(
-                event.request_id, event.job, event.queue, event.deadline, now
+                event.request_id,
+                event.job,
+                event.queue,
+                event.deadline,
+                now,
+                event.arrived,
             )
         )
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -73,7 +73,7 @@
         self._shared_jobs = SharedJobs(
             settings,
             self._records,
-            self._waiting.is_stopping,
+            lambda: self._waiting.stopping_job_ids,
             self._finish_job,
             self.submit,
         )
@@ -129,7 +129,7 @@
 
     # Requests.
 
-    def submit(self, request_id, job, queue, deadline, now):
+    def submit(self, request_id, job, queue, deadline, now, arrived=None):
         """Accept or refuse a job, or attach the request to the open job of that id.
 
         The open job may be that of another entry.
@@ -140,7 +140,10 @@
             Identifies the request in its `RequestAnswer`.
         deadline : float
             Monotonic seconds at which the caller stops waiting.
+        arrived : float, optional
+            Monotonic seconds at which the request arrived; `now` by default.
         """
+        arrived = now if arrived is None else arrived
         record = self._records.get(job.id)
         if record is not None:
             record.attach(request_id, deadline)
@@ -150,18 +153,20 @@
             return [failed, RequestAnswer(request_id, job.id, Code.JOB_FAILED)]
         if self.isolated or self._shared_jobs.has_paused(now):
             return [RequestAnswer(request_id, job.id, Code.OUTCOME_UNKNOWN)]
-        followed = self._shared_jobs.follow(request_id, job, queue, deadline, now)
+        followed = self._shared_jobs.follow(
+            request_id, job, queue, deadline, now, arrived
+        )
         if followed is not None:
             return followed
-        return self._accept(request_id, job, queue, deadline, now)
+        return self._accept(request_id, job, queue, deadline, now, arrived)
 
-    def _accept(self, request_id, job, queue, deadline, now):
+    def _accept(self, request_id, job, queue, deadline, now, arrived):
         """Accept a job that no entry has open, or refuse it."""
         expected = [
             self._feedback.expected_run_ms(queue.name, step.estimate_ms)
             for step in job.steps
         ]
-        record = RestartableRecord(job, queue, now, deadline, 0.0, expected)
+        record = RestartableRecord(job, queue, arrived, deadline, 0.0, expected)
         critical_path_ms = record.remaining_path_ms(now)
         record.objective_at = now + objective_ms(queue, critical_path_ms) / MS_PER_S
         code = self._refusal_code(record, critical_path_ms, now)
@@ -200,10 +205,10 @@
         return [abandoned, *self._drop(record), *self._dispatch(now)]
 
     def delete(self, job_id, now):
-        """Cancel a job for all its callers; return None if it is not open here."""
+        """Cancel a job for all its callers; return None if no entry has it open."""
         record = self._records.get(job_id)
         if record is None:
-            return None
+            return self._shared_jobs.cancel_elsewhere(job_id, now)
         self._assigner.request()
         return self._finish_job(record, Code.CANCELLED, now) + self._dispatch(now)
 
@@ -291,6 +296,12 @@
         """Withdraw an attached request."""
         return self.cancel(message.request_id, message.job_id, now)
 
+    def on_cancel_job(self, _sender, message, now):
+        """Cancel a job for all its callers, as another entry was asked to."""
+        if message.job_id not in self._records:
+            return []
+        return self.delete(message.job_id, now)
+
     # Events.
 
     def on_orders_changed(self, orders, now):
--- a/ragwortlug/jobs/job_owners.py
+++ b/ragwortlug/jobs/job_owners.py
@@ -12,10 +12,15 @@
 from ragwortlug.lease_messages import OpenJobs, RelayedJobs
 
 MS_PER_S = 1000.0
-ANNOUNCEMENT_INTERVAL_S = 0.25
+# Announcements go out with the first tick after this time.
+ANNOUNCEMENT_INTERVAL_S = 0.2
 # How long before the earliest return of its caller a job is first announced, so that
-# a lost message does not matter.
+# lost messages do not matter.
 ANNOUNCEMENT_LEAD_S = 0.8
+MIN_ANNOUNCED_AGE_S = 0.1
+# How much longer than its runs may exist an entry must be silent. An announcement may
+# be late or lost.
+SILENCE_MARGIN_S = 0.5
 FORGET_AFTER_S = 60.0
 
 
@@ -51,10 +56,15 @@
     """
 
     def __init__(self, settings):
-        self._announced_age_s = settings.caller_retry_ms / MS_PER_S
-        self._announced_age_s -= ANNOUNCEMENT_LEAD_S
-        self._isolated_after_s = settings.orphan_ms / MS_PER_S
-        self._silence_s = self._isolated_after_s + ANNOUNCEMENT_INTERVAL_S
+        self._announced_age_s = max(
+            settings.caller_retry_ms / MS_PER_S - ANNOUNCEMENT_LEAD_S,
+            MIN_ANNOUNCED_AGE_S,
+        )
+        self._silence_s = settings.orphan_ms / MS_PER_S + SILENCE_MARGIN_S
+        # Agents stop the runs of a dispatcher that they miss after this time.
+        self._isolated_after_s = (
+            settings.permission_ms - settings.stop_ahead_ms
+        ) / MS_PER_S
         # By process, as runs of one that has stopped may exist until it is silent.
         self._announcements = {}
         self._other_addresses = ()
@@ -66,6 +76,11 @@
         """Return from which age on a job may have been submitted elsewhere."""
         return self._announced_age_s
 
+    @property
+    def isolated_after_s(self):
+        """Return after which silence others may be missing this entry."""
+        return self._isolated_after_s
+
     @property
     def silence_s(self):
         """Return after which silence no run of another entry's jobs can exist."""
@@ -108,6 +123,7 @@
         known = self._announcements.get(sender)
         is_back = known is None or not self._is_recent(known, now)
         job_ids = frozenset(job_id for job_id, _ in message.jobs)
+        job_ids |= frozenset(message.stopping)
         self._announcements[sender] = Announcement(sender, job_ids, now, message.number)
         for relayed in message.relayed:
             if relayed.owner not in self._announcements:
@@ -139,22 +155,24 @@
             job_ids = known.job_ids - {job_id}
             self._announcements[owner] = dataclasses.replace(known, job_ids=job_ids)
 
-    def announce(self, records, now):
+    def announce(self, records, stopping, now):
         """Return the `Send` effects of the announcements that are due.
 
         Parameters
         ----------
         records : mapping
             The open jobs: job id to `RestartableRecord`.
+        stopping : set of str
+            Ids of jobs that are no longer open, with runs that have not ended.
         """
         if now - self._sent_at < ANNOUNCEMENT_INTERVAL_S:
             return []
         self._sent_at = now
         self._forget_silent(now)
-        message = self.announcement(records, now)
+        message = self.announcement(records, stopping, now)
         return [Send(Peer(address), message) for address in self._other_addresses]
 
-    def announcement(self, records, now, disputed=(), newcomer=None):
+    def announcement(self, records, stopping, now, disputed=(), newcomer=None):
         """Return the message with all jobs that callers may submit elsewhere.
 
         `disputed` are the ids of younger jobs to include. A `newcomer` is also told
@@ -167,7 +185,8 @@
         )
         relayed = () if newcomer is None else self._relayed(newcomer, now)
         self._next_number += 1
-        return OpenJobs(self._next_number, jobs, relayed)
+        stopping_jobs = tuple(sorted(stopping - records.keys()))
+        return OpenJobs(self._next_number, jobs, stopping_jobs, relayed)
 
     def _relayed(self, newcomer, now):
         """Return what a new process must know of the others, a tuple."""
--- a/ragwortlug/jobs/remote_requests.py
+++ b/ragwortlug/jobs/remote_requests.py
@@ -71,11 +71,11 @@
         """Remove and return a request, or return None if there is no such one."""
         return self._requests.pop(request_id, None)
 
-    def on_attached(self, sender, request_id, now):
-        """Record that the owner keeps a request waiting."""
-        request = self._requests.get(request_id)
-        if request is not None and request.owner == sender:
-            request.last_contact_at = now
+    def on_contact(self, sender, now):
+        """Record a message of an owner."""
+        for request in self._requests.values():
+            if request.owner == sender:
+                request.last_contact_at = now
 
     def pop_ended(self, sender, request_id):
         """Remove and return a request that its owner has ended, or return None."""
--- a/ragwortlug/jobs/shared_jobs.py
+++ b/ragwortlug/jobs/shared_jobs.py
@@ -13,7 +13,7 @@
 from ragwortlug.jobs.job_owners import JobOwners
 from ragwortlug.jobs.remote_requests import RemoteRequest, RemoteRequests
 from ragwortlug.jobs.request_answer import RequestAnswer
-from ragwortlug.lease_messages import AttachedRequestEnded, RequestAttached
+from ragwortlug.lease_messages import AttachedRequestEnded, CancelJob, RequestAttached
 
 MS_PER_S = 1000.0
 
@@ -27,18 +27,17 @@
         Gives the times after which callers return and permissions have expired.
     records : dict
         The entry's open jobs: job id to `RestartableRecord`.
-    is_stopping : callable
-        Returns whether a job that was removed, given by its id, still has runs.
+    stopping_job_ids : callable
+        Returns the ids of removed jobs with runs that have not ended, a set.
     finish_job : callable
         Ends a job: called with its record, a `Code` and the time.
     submit : callable
         Submits a job at this entry: called with the fields of a request.
     """
 
-    def __init__(self, settings, records, is_stopping, finish_job, submit):
-        self._pause_s = settings.orphan_ms / MS_PER_S
+    def __init__(self, settings, records, stopping_job_ids, finish_job, submit):
         self._records = records
-        self._is_stopping = is_stopping
+        self._stopping_job_ids = stopping_job_ids
         self._finish_job = finish_job
         self._submit = submit
         self._owners = JobOwners(settings)
@@ -72,12 +71,12 @@
         """Return whether other entries may have found this one silent by its pause."""
         if self._updated_at is None or not self._owners.knows_others:
             return False
-        return now - self._updated_at > self._pause_s
+        return now - self._updated_at > self._owners.isolated_after_s
 
     # Requests of this entry's callers.
 
-    def follow(self, request_id, job, queue, deadline, now):
-        """Attach a request to the job of another entry.
+    def follow(self, request_id, job, queue, deadline, now, arrived):
+        """Attach a request, which arrived at some time, to the job of another entry.
 
         Returns
         -------
@@ -88,7 +87,7 @@
         if owner is None:
             return None
         request = RemoteRequest(
-            request_id, job, queue, now, deadline, owner.peer, owner.received_at
+            request_id, job, queue, arrived, deadline, owner.peer, owner.received_at
         )
         return [events.job_followed(request), self._remote_requests.add(request, now)]
 
@@ -98,6 +97,11 @@
         request = self._remote_requests.pop(request_id)
         return None if request is None else [request.detach()]
 
+    def cancel_elsewhere(self, job_id, now):
+        """Cancel a job of another entry; return the effects, or None if none has it."""
+        owner = self._owners.owner_of(job_id, now)
+        return None if owner is None else [Send(owner.peer, CancelJob(job_id))]
+
     def answer(self, request_id, job_id, code, retry_after_s):
         """Return the effect that answers a request of a caller or of another entry."""
         receiver = self._attached_from.pop(request_id, None)
@@ -115,6 +119,7 @@
         if self._owners.is_outdated(sender, message):
             return []
         is_back = self._owners.on_open_jobs(sender, message, now)
+        self._remote_requests.on_contact(sender, now)
         effects = []
         disputed = []
         for job_id, age_ms in message.jobs:
@@ -129,7 +134,10 @@
                 disputed.append(job_id)
         if is_back or disputed:
             newcomer = sender if is_back else None
-            answer = self._owners.announcement(self._records, now, disputed, newcomer)
+            stopping = self._stopping_job_ids()
+            answer = self._owners.announcement(
+                self._records, stopping, now, disputed, newcomer
+            )
             effects.append(Send(sender, answer))
         return effects
 
@@ -138,7 +146,7 @@
         request_id = message.request_id
         record = self._records.get(message.job_id)
         if record is None:
-            if self._is_stopping(message.job_id):
+            if message.job_id in self._stopping_job_ids():
                 return [Send(sender, RequestAttached(request_id))]
             return [Send(sender, AttachedRequestEnded(request_id))]
         effects = [Send(sender, RequestAttached(request_id))]
@@ -148,9 +156,9 @@
             effects.append(events.job_attached(record))
         return effects
 
-    def on_request_attached(self, sender, message, now):
+    def on_request_attached(self, sender, _message, now):
         """Record that another entry keeps an attached request waiting."""
-        self._remote_requests.on_attached(sender, message.request_id, now)
+        self._remote_requests.on_contact(sender, now)
         return []
 
     def on_attached_request_ended(self, sender, message, now):
@@ -180,14 +188,15 @@
         for request in self._remote_requests.pop_orphaned(self._owners.silence_s, now):
             effects += self._reclaim(request, now)
         effects += self._remote_requests.repeat(now)
-        return effects + self._owners.announce(self._records, now)
+        stopping = self._stopping_job_ids()
+        return effects + self._owners.announce(self._records, stopping, now)
 
     def _update_isolation(self, hears_agent, now):
         """Give up all jobs if other entries may start them."""
         was_isolated = self.isolated
         has_paused = self.has_paused(now)
         self._updated_at = now
-        if not self._owners.knows_others:
+        if not (self._owners.knows_others or self.isolated):
             return []
         hears_entry = self._owners.hears_entry(now)
         self._isolation.update(hears_entry, hears_agent, has_paused, now)
@@ -216,6 +225,11 @@
         return [
             events.job_reclaimed(request),
             *self._submit(
-                request.request_id, job, request.queue, request.deadline, now
+                request.request_id,
+                job,
+                request.queue,
+                request.deadline,
+                now,
+                request.arrived,
             ),
         ]
--- a/ragwortlug/jobs/waiting_jobs.py
+++ b/ragwortlug/jobs/waiting_jobs.py
@@ -21,6 +21,11 @@
         """The names of the services that jobs have waited for, a list."""
         return list(self._records)
 
+    @property
+    def stopping_job_ids(self):
+        """Return the ids of removed jobs with runs that have not ended, a set."""
+        return {key[0] for key in self._stopping_tasks}
+
     def update(self, record, is_open):
         """Add a job, or remove it if it is not open or no task of it waits.
 
@@ -58,10 +63,6 @@
             if _task_key(record, task) not in self._stopping_tasks
         )
 
-    def is_stopping(self, job_id):
-        """Return whether a removed job of that id has a run that has not ended."""
-        return any(key[0] == job_id for key in self._stopping_tasks)
-
     def add_stopping(self, record, task):
         """Record that a task of a removed job has a run that must end first."""
         self._stopping_tasks.add(_task_key(record, task))
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -129,12 +129,14 @@
     """Announces open jobs of the sender to another entry: job id and age in ms.
 
     Also sent without jobs, as a sign of life. `number` counts the sender's
-    announcements, so that one that arrives late is not taken for new. `relayed` tells
-    a new receiver of the jobs of others, which may have stopped since.
+    announcements, so that one that arrives late is not taken for new. `stopping` are
+    jobs that are no longer open, of which runs have not ended. `relayed` tells a new
+    receiver of the jobs of others, which may have stopped since.
     """
 
     number: int
     jobs: tuple[tuple[str, int], ...] = ()
+    stopping: tuple[str, ...] = ()
     relayed: tuple[RelayedJobs, ...] = ()
 
 
@@ -174,6 +176,12 @@
     job_id: str
 
 
+class CancelJob(Message):
+    """Asks the owner of a job to cancel it for all its callers."""
+
+    job_id: str
+
+
 CODEC = Codec(
     Renewal
     | Renewed
@@ -190,5 +198,6 @@
     | RequestAttached
     | AttachedRequestEnded
     | DetachRequest
+    | CancelJob
     | Rejected
 )
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -19,6 +19,7 @@
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
     AttachRequest,
+    CancelJob,
     DetachRequest,
     Offer,
     OpenJobs,
@@ -310,6 +311,7 @@
             RequestAttached: self.dispatcher.shared_jobs.on_request_attached,
             AttachedRequestEnded: self.dispatcher.shared_jobs.on_attached_request_ended,
             DetachRequest: self.dispatcher.on_detach_request,
+            CancelJob: self.dispatcher.on_cancel_job,
         }
         decide = decisions[type(message)]
         self.run(lambda now: decide(sender, message, now))
