Notice silent connections between entries within a second

Found in the review of the change: a connection between two entries that goes silent while new ones work was replaced only after 2.0 to 2.5 s, by the library's heartbeats, longer than the silence after which entries take each other's jobs over. One event that silences the connections of callers and of entries was enough for two runs of a task. Only connections to entries have the shorter heartbeat.

--- a/ragwortlug/io/gossip.py
+++ b/ragwortlug/io/gossip.py
@@ -118,6 +118,7 @@
             outdated = self._reported_revisions.get(address, 0) < self.orders.revision
             orders = self.orders if outdated else None
             state = EntryState(self.entries, self.orders.revision, orders)
+            self._peers.watch(address)
             self._peers.send(Peer(address), state)
 
     def _on_entry_state(self, sender, message):
--- a/ragwortlug/io/peers.py
+++ b/ragwortlug/io/peers.py
@@ -24,6 +24,9 @@
 MAX_MESSAGE_BYTES = 8 << 20
 HEARTBEAT_INTERVAL_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 1500
+# To addresses whose silence must be noticed soon.
+WATCHED_HEARTBEAT_INTERVAL_MS = 250
+WATCHED_HEARTBEAT_TIMEOUT_MS = 500
 # Processes start in any order: an attempt to connect to one that does not listen yet,
 # or whose VM has no power, is repeated soon, and less often the longer it fails.
 CONNECT_TIMEOUT_MS = 150
@@ -161,6 +164,7 @@
         self._router = None
         self._connections = {}
         self._inbound = {}
+        self._watched = set()
 
     @property
     def own_peer(self):
@@ -183,6 +187,13 @@
         for effect in effects:
             self.send(effect.receiver, effect.body)
 
+    def watch(self, address):
+        """Replace the connection to an address soon after it has gone silent.
+
+        Applies to a connection that is opened later.
+        """
+        self._watched.add(address)
+
     def reconnect(self, address):
         """Replace the connection to an address; drop its queued messages."""
         connection = self._connections.get(address)
@@ -334,8 +345,9 @@
             socket.setsockopt(zmq.LINGER, 0)
             socket.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
             socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-            socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+            interval_ms, timeout_ms = self._heartbeat_ms(address)
+            socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
+            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, timeout_ms)
             socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
             socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
             socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_INTERVAL_MS)
@@ -345,6 +357,12 @@
         connection.used_at = now
         return connection
 
+    def _heartbeat_ms(self, address):
+        """Return the interval and the timeout of heartbeats to an address."""
+        if address in self._watched:
+            return WATCHED_HEARTBEAT_INTERVAL_MS, WATCHED_HEARTBEAT_TIMEOUT_MS
+        return HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS
+
     def _close_idle(self):
         """Close idle connections and drop idle reply paths."""
         now = self._timer.monotonic()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -19,6 +19,10 @@
 
     def __init__(self):
         self.receivers = []
+        self.watched = set()
+
+    def watch(self, address):
+        self.watched.add(address)
 
     def send(self, receiver, body):
         self.receivers.append(receiver.address)
@@ -50,3 +54,8 @@
         gossip.broadcast()
         assert sorted(gossip._peers.receivers) == [OTHER, THIRD]
         assert len(handler.records) <= 1
+
+    def test_entries_are_watched_for_silence(self, gossip):
+        gossip.add_addresses([OTHER, THIRD])
+        gossip.broadcast()
+        assert gossip._peers.watched == {OTHER, THIRD}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -152,3 +152,30 @@
             assert second.metrics.counters["messages_rejected", "500"] == 1
 
         asyncio.run(run())
+
+
+class TestWatchedAddresses:
+    """Connections whose silence is noticed before others act on it."""
+
+    # An entry takes another one for stopped after 1.5 s without its announcements,
+    # which come each 0.25 s.
+    LIMIT_MS = 1250
+
+    def test_silence_is_noticed_before_others_take_jobs_over(self):
+        async def run():
+            first, second = await _pair()
+            try:
+                first.peers.watch(SECOND)
+                first.peers.send(Peer(SECOND), Load(1))
+                async with asyncio.timeout(LIMIT_S):
+                    await first.taken.get()
+                socket = first.peers._connections[SECOND].channel._socket
+                return sum(
+                    socket.getsockopt(option)
+                    for option in (zmq.HEARTBEAT_IVL, zmq.HEARTBEAT_TIMEOUT)
+                )
+            finally:
+                await first.stop()
+                await second.stop()
+
+        assert asyncio.run(run()) < self.LIMIT_MS
