Ignore copies of assignments; pause between requests after an invalid list

Two faults that the review of the change found, each with a test that failed before: - An assignment that arrived twice was refused for want of resources while its run lived, and the dispatcher took that for the run's end; a copy of a refused one could start later. The token is raised once a boot, and an incomplete list is requested again after 0.2 s. Announcements also go to addresses of entries that are not known to live.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -210,7 +210,8 @@
         self._load_shedder.on_tick(now, round_trip_s)
         self._write_limit_change(previous_limit)
         own_address = self._peers.own_peer.address
-        self._dispatcher.set_entries(self._gossip.entries, own_address)
+        gossip = self._gossip
+        self._dispatcher.set_entries(gossip.entries, own_address, gossip.addresses)
         self._perform(self._dispatcher.tick(now))
 
     def _write_limit_change(self, previous_limit):
--- a/ragwortlug/io/gossip.py
+++ b/ragwortlug/io/gossip.py
@@ -65,6 +65,11 @@
         )
         return tuple(sorted({self._own_address, *live}))
 
+    @property
+    def addresses(self):
+        """All addresses at which other entries may listen, a sorted tuple."""
+        return tuple(sorted({*self._seeds, *self._last_contact_at}))
+
     async def start(self):
         """Start sending and receiving the state."""
         self._peers.register_handler(EntryState, self._on_entry_state)
@@ -114,7 +119,7 @@
             if now - last_contact_at > FORGET_TIMEOUT_S:
                 del self._last_contact_at[address]
                 self._silent.discard(address)
-        for address in {*self._seeds, *self._last_contact_at}:
+        for address in self.addresses:
             outdated = self._reported_revisions.get(address, 0) < self.orders.revision
             orders = self.orders if outdated else None
             state = EntryState(self.entries, self.orders.revision, orders)
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -320,11 +320,14 @@
         self._assigner.request()
         return [applied, *self._dispatch(now)]
 
-    def set_entries(self, entries, own_address):
-        """Set the addresses of all entries, which are sent to agents, and its own."""
+    def set_entries(self, entries, own_address, others=()):
+        """Set the addresses of all live entries, which are sent to agents, and its own.
+
+        `others` are further addresses at which entries may listen.
+        """
         self._entries = tuple(entries)
         self._risky_jobs.set_dispatchers(entries, own_address)
-        self._shared_jobs.set_entries(entries, own_address)
+        self._shared_jobs.set_entries({*entries, *others}, own_address)
 
     def tick(self, now):
         """Finish jobs past their deadline and remove agents that are silent."""
--- a/ragwortlug/jobs/ended_runs.py
+++ b/ragwortlug/jobs/ended_runs.py
@@ -48,6 +48,10 @@
         address = local_run.dispatcher.address
         _add(self._by_attempt, attempt, ReportedEnd(end, proof, address, now))
 
+    def refuse(self, key, end):
+        """Record that an assignment was refused and how that was reported."""
+        _add(self._by_assignment, key, (end, 0.0))
+
     def end_or_refuse(self, key):
         """Return an assignment's end and run time; refuse one that has not arrived."""
         return self._by_assignment.setdefault(key, NEVER_STARTED)
--- a/ragwortlug/jobs/job_owners.py
+++ b/ragwortlug/jobs/job_owners.py
@@ -93,9 +93,7 @@
 
     def set_entries(self, addresses, own_address):
         """Set the addresses of the entries that get announcements."""
-        self._other_addresses = tuple(
-            address for address in addresses if address != own_address
-        )
+        self._other_addresses = tuple(sorted({*addresses} - {own_address}))
 
     def hears_entry(self, now):
         """Return whether another entry has been in contact recently.
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -275,14 +275,14 @@
                 effects += self._request_renewals()
             return self._reports.offer_then_report(effects, now)
         self._latest_snapshot_requested_at = requested_at
+        is_first_of_boot = self._lease.clock_base is None
         silent_s = self._lease.on_clock(snapshot.clock_ms, now)
         if silent_s:
             fields = {"silent_ms": round(silent_s * MS_PER_S)}
             effects.append(Event(EventName.WORKER_ANSWERS, "", fields))
-        if not self._has_snapshot:
-            token = self._worker.booted_at_ms + snapshot.clock_ms
-            self._lease.raise_token(token)
-            self._has_snapshot = snapshot.is_complete
+        if is_first_of_boot:
+            self._lease.raise_token(self._worker.booted_at_ms + snapshot.clock_ms)
+        self._has_snapshot |= snapshot.is_complete
         effects += self._record_running(snapshot.running, by_run, now)
         if snapshot.is_complete:
             listed = {(row.task, row.attempt) for row in snapshot.running}
@@ -448,9 +448,12 @@
         )
         for run in message.runs:
             key = (sender.incarnation, run.number)
+            if key in self._runs:
+                continue
             end = self._refusal_end(sender, key, run, permitted)
             if end is not None:
                 refused.append((run.number, end, 0.0))
+                self._run_ends.refuse(key, end)
                 fields = {"number": run.number, "end": end.value}
                 fields |= {"permitted": permitted, "accepting": self.accepting}
                 fields |= {
--- a/ragwortlug/jobs/run_ends.py
+++ b/ragwortlug/jobs/run_ends.py
@@ -35,6 +35,10 @@
     def __contains__(self, key):
         return key in self._ended_runs
 
+    def refuse(self, key, end):
+        """Record the refusal of an assignment; a copy of it is refused too."""
+        self._ended_runs.refuse(key, end)
+
     def end_or_refuse(self, key):
         """Return an assignment's end and run time; refuse one that has not arrived."""
         return self._ended_runs.end_or_refuse(key)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -110,6 +110,28 @@
         assert told.free_resources == ROOM
 
 
+class TestCopies:
+    """An assignment that arrives twice starts one run."""
+
+    def test_a_copy_of_a_live_run_is_not_reported_as_refused(self):
+        agent = runner()
+        start(agent)
+        effects = agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.1)
+        assert messages(effects, RunsEnded) == []
+        assert agent.running == 1
+
+    def test_a_copy_of_a_refused_run_does_not_start(self):
+        agent = runner()
+        other = Run(9, RUN.job_id, 0, 9, 1, "text", ROOM, 100.0)
+        start(agent, run=other)
+        copied = StartRuns(10_000, (RUN,))
+        assert refusal(agent.on_start_runs(SENDER, copied, 10.05)).ends
+        ended = ListedRun((other.job_id, 0, 9), 1, 1.0, 1, RunEnd.DONE)
+        look(agent, WorkerSnapshot(100, 1, (), (ended,)), 10.1)
+        assert refusal(agent.on_start_runs(SENDER, copied, 10.2)).ends
+        assert agent.running == 0
+
+
 class TestOffers:
     """Reports of free resources beside offers of the same resources."""
 
@@ -577,6 +599,21 @@
         assert reported_ends(effects) == [(1, RunEnd.LOST)]
 
 
+class TestIncompleteSnapshots:
+    """Snapshots of a worker whose lists have invalid rows."""
+
+    def test_they_are_not_requested_without_a_pause(self):
+        agent = LeasedRunner(RestartSettings())
+        agent.on_report(REPORT, 10.0)
+        requests = 0
+        for step in range(100):
+            now = 10.0 + step / 1000
+            incomplete = WorkerSnapshot(200 + step, 1, (), (), False)
+            effects = look(agent, incomplete, now)
+            requests += sum(isinstance(each, RequestSnapshot) for each in effects)
+        assert requests == 1
+
+
 class TestReports:
     def test_a_changed_capacity_is_reported_to_dispatchers_at_once(self):
         agent = runner()
