--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -152,3 +152,27 @@
             assert second.metrics.counters["messages_rejected", "500"] == 1
 
         asyncio.run(run())
+
+    def test_the_others_are_read_after_an_error(self):
+        async def run():
+            first, second = End(FIRST, "first"), End(SECOND, "second")
+            dispatch = second.peers._dispatch
+
+            def fail_first(envelope, size):
+                if envelope.body.free_slots == 0:
+                    raise RuntimeError("refused")
+                dispatch(envelope, size)
+
+            second.peers._dispatch = fail_first
+            await first.peers.start()
+            await second.peers.start()
+            try:
+                for number in range(3):
+                    first.peers.send(Peer(SECOND), Load(number))
+                async with asyncio.timeout(LIMIT_S):
+                    assert [await second.taken.get() for _ in range(2)] == [1, 2]
+            finally:
+                await first.stop()
+                await second.stop()
+
+        asyncio.run(run())
