--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -24,6 +24,7 @@
     WorkerSnapshot,
 )
 from ragwortlug.lease_messages import Renewed, StartRuns, StopRuns, Wants
+from ragwortlug.lease_settings import is_address
 
 TICK_S = 0.05
 # The next snapshot request starts if the answer is this late.
@@ -180,8 +181,8 @@
         return not self._runner.running and not self.backlog
 
     def add_addresses(self, addresses):
-        """Add addresses of possible dispatchers."""
-        self._dispatchers.add_addresses(addresses)
+        """Add addresses of possible dispatchers, without the invalid ones."""
+        self._dispatchers.add_addresses(filter(is_address, addresses))
 
     @property
     def last_renewal_at(self):
@@ -306,11 +307,19 @@
                 self._request_snapshot(self._settings.look_ms)
             )
             done, _ = await asyncio.wait({snapshot_request}, timeout=limit_s)
-            failed = bool(done) and not snapshot_request.result()
+            failed = bool(done) and not self._has_answer(snapshot_request)
             failures = failures + 1 if failed else 0
             if failures > 1:
                 await asyncio.sleep(PAUSE_AFTER_FAILURE_S)
 
+    def _has_answer(self, snapshot_request):
+        """Return whether a finished request was answered; log an unexpected error."""
+        error = snapshot_request.exception()
+        if error is not None:
+            self._log.error("A request for a snapshot failed: {!r}.", error)
+            return False
+        return snapshot_request.result()
+
     async def _request_snapshot(self, wait_ms):
         """Renew the lease and read a snapshot; return whether the worker answered.
 
