--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -1,6 +1,7 @@
 """Fake processes for plays: the product's state machines, and calls that may fail."""
 
 import random
+from dataclasses import replace
 
 from ragwortlug.envelope import Peer, Send
 from ragwortlug.events import Event
@@ -13,6 +14,7 @@
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    WorkerClock,
 )
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
@@ -114,45 +116,54 @@
 
     def look(self, wait_s, after=lambda: None):
         """Look at the worker; the answer waits for an end."""
-        asked = self.play.now
-        lease = self.runner.lease_until_ms(asked)
-        token, seen = self.runner.fencing_token, self.runner.last_end_number
-        boot, worker_boot = self.boots, self.worker.boots
-        asked_boot = self.runner.worker.boot_id if self.runner.worker else None
+        request = self.runner.build_snapshot_request(self.play.now)
+        boot = self.boots
+        if request is None:
+            self.play.at(0.05, after)
+            return
 
-        def answer():
+        def answer(worker_boot):
             if not self.worker.up or worker_boot != self.worker.boots:
-                failed(self.worker.up)
+                failed(False)
                 return
-            lists = self.worker.look(token, seen, lease)
-            done = lambda now: self.runner.on_snapshot(lists, asked, now)  # noqa: E731
+            lists = self.worker.look(request)
+            clock_ms = self.worker.clock_ms()
+
+            def done(now):
+                if lists is None:
+                    return self.runner.on_fenced(clock_ms)
+                return self.runner.on_snapshot(lists, request, now)
+
             self.play.at(LOCAL_S, lambda: (self.run(done, boot), after()))
 
         def failed(refused):
-            lost = lambda now: self.runner.on_snapshot_failed(asked_boot, refused, now)  # noqa: E731
+            def lost(now):
+                return self.runner.on_snapshot_failed(request.boot, refused, now)
+
             self.play.at(LOCAL_S, lambda: self.run(lost, boot))
             self.play.at(0.05, after)
 
         def arrive():
-            if not self.worker.up or worker_boot != self.worker.boots:
+            if not self.worker.reachable:
                 failed(True)
                 return
-            lists = self.worker.look(token, seen, lease)
-            if lists.ended or not wait_s:
-                answer()
+            lists = self.worker.look(request)
+            worker_boot = self.worker.boots
+            if lists is None or lists.ended or not wait_s:
+                answer(worker_boot)
             else:
-                self.play.wait_for_end(self.worker, wait_s, answer)
+                self.play.wait_for_end(self.worker, wait_s, lambda: answer(worker_boot))
 
         if self.play.chance(self.play.faults.no_answer):
-            self.play.late(lambda: self.late_look(worker_boot, token, lease))
+            self.play.late(lambda: self.late_look(request))
             self.play.at(wait_s + 0.15, lambda: failed(False))
         else:
-            self.play.at(LOCAL_S, arrive)
+            self.play.travel(arrive)
 
-    def late_look(self, worker_boot, token, lease):
-        """Carry out a look whose answer is lost."""
-        if self.worker.up and self.worker.boots == worker_boot:
-            self.worker.look(token, 0, lease)
+    def late_look(self, request):
+        """Carry out a look whose answer is lost, if need be by the next boot."""
+        if self.worker.up:
+            self.worker.look(replace(request, last_end_number=0))
 
     def perform(self, effects):
         """Carry out effects."""
@@ -171,36 +182,44 @@
             else:
                 assert isinstance(effect, Event)
 
+    def late_start(self, worker_boot, order):
+        """Carry out a start whose answer is lost, perhaps by a later boot.
+
+        No command to a later boot is fenced before its first snapshot. What the agent
+        has proved about the former boot does not hold there.
+        """
+        same_boot = self.worker.boots == worker_boot
+        if self.worker.up and (same_boot or order.key in self.runner._runs):
+            self.worker.start(order)
+
     def start(self, order):
         """Order a run from the worker."""
         boot, worker_boot = self.boots, self.worker.boots
 
-        def answered(answer):
+        def answered(answer, clock=None):
             self.run(
-                lambda now: self.runner.on_start_answered(order.key, answer, now), boot
+                lambda now: self.runner.on_start_answered(
+                    order.key, answer, now, clock
+                ),
+                boot,
             )
 
         def arrive():
-            if not self.worker.up or worker_boot != self.worker.boots:
+            if not self.worker.reachable:
                 answered(StartAnswer.REJECTED)
                 return
             if self.play.crashes_worker(order.run):
                 delay_s = self.play.crash_delay_s
                 self.play.at(delay_s, lambda: self.play.crash_by_run(self, order.run))
             answer = self.worker.start(order)
-            self.play.at(LOCAL_S, lambda: answered(answer))
+            clock = WorkerClock(self.worker.clock_ms())
+            self.play.at(LOCAL_S, lambda: answered(answer, clock))
 
         if self.play.chance(self.play.faults.no_answer):
-            self.play.late(
-                lambda: (
-                    self.worker.up
-                    and self.worker.boots == worker_boot
-                    and self.worker.start(order)
-                )
-            )
+            self.play.late(lambda: self.late_start(worker_boot, order))
             self.play.at(0.06, lambda: answered(StartAnswer.NO_ANSWER))
         else:
-            self.play.at(LOCAL_S, arrive)
+            self.play.travel(arrive)
 
     def stop(self, order):
         """Order the end of a run from the worker."""
@@ -215,15 +234,14 @@
             )
 
         def arrive():
-            if self.worker.up:
-                self.worker.stop(order)
-            self.play.at(LOCAL_S, lambda: answered(self.worker.up))
+            reached = self.worker.reachable and self.worker.stop(order)
+            self.play.at(LOCAL_S, lambda: answered(reached))
 
         if self.play.chance(self.play.faults.no_answer):
             self.play.late(lambda: self.worker.up and self.worker.stop(order))
             self.play.at(0.11, lambda: answered(False))
         else:
-            self.play.at(LOCAL_S, arrive)
+            self.play.travel(arrive)
 
     def receive(self, sender, message):
         """Take a message."""
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import msgspec
+import pytest
 
 from ragwortlug.envelope import Peer, Send
 from ragwortlug.events import Event, EventName
@@ -11,11 +12,14 @@
     ListedRun,
     RequestRenewals,
     StartAnswer,
+    StartOnWorker,
+    WorkerClock,
     WorkerReport,
     WorkerSnapshot,
 )
 from ragwortlug.lease_messages import Offer, Renewed, RunsEnded, StartRuns, Wants
 from ragwortlug.lease_settings import RestartSettings
+from ragwortlug.platform import wire
 from ragwortlug.restartable_model import Rank, Resources, Run, RunEnd
 
 ROOM = Resources(64000, 1000, 0)
@@ -30,10 +34,15 @@
     """Return a runner whose worker is ready at second 10."""
     found = LeasedRunner(RestartSettings())
     found.on_report(REPORT, 10.0)
-    found.on_snapshot(WorkerSnapshot(0, 1, (), ()), 10.0, 10.0)
+    look(found, WorkerSnapshot(200, 1, (), ()), 10.0)
     return found
 
 
+def look(agent, snapshot, now):
+    """Return the effects of a snapshot that is requested and answered at once."""
+    return agent.on_snapshot(snapshot, agent.build_snapshot_request(now), now)
+
+
 def refusal(effects):
     """Return the message that refuses runs."""
     (found,) = [
@@ -44,6 +53,35 @@
     return found
 
 
+def start(agent, now=10.0, run=RUN):
+    """Start a run of `SENDER`; return the command to the worker."""
+    requested_at_ms = int(now * 1000)
+    agent.on_renewed(SENDER, Renewed(requested_at_ms), now)
+    effects = agent.on_start_runs(SENDER, StartRuns(requested_at_ms, (run,)), now)
+    (command,) = [each for each in effects if isinstance(each, StartOnWorker)]
+    return command
+
+
+def answer_start(agent, now, clock_ms, number=1):
+    """Return the effects of an answer that a run has started."""
+    key = (SENDER.incarnation, number)
+    return agent.on_start_answered(key, StartAnswer.STARTED, now, WorkerClock(clock_ms))
+
+
+def reported_ends(effects):
+    """Return the ends in messages: number of the assignment and end."""
+    return [
+        (number, end)
+        for _, message in messages(effects, RunsEnded)
+        for number, end, _ in message.ends
+    ]
+
+
+def events(effects, name):
+    """Return the events of a name."""
+    return [each for each in effects if isinstance(each, Event) and each.name is name]
+
+
 class TestRefusals:
     def test_no_room_is_told_without_a_permission(self):
         stale_ms = 9100
@@ -109,11 +147,11 @@
             agent.on_renewed(peer, Renewed(10_000), 10.0)
         whole = Run(1, RUN.job_id, 0, 0, 1, "text", ROOM, 100.0)
         agent.on_start_runs(SENDER, StartRuns(10_000, (whole,)), 10.0)
-        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.STARTED, 10.0)
+        answer_start(agent, 10.0, 200)
         assert agent.on_wants(OTHER, Wants(RANK, RUN.resources), 10.0) == []
         ended = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
         snapshot = WorkerSnapshot(100, 1, (), (ended,))
-        return agent, agent.on_snapshot(snapshot, 10.1, 10.1)
+        return agent, look(agent, snapshot, 10.1)
 
 
 def messages(effects, kind):
@@ -129,21 +167,25 @@
     """The end of a worker without notice differs from a planned one."""
 
     def crashing(self, draining=False):
-        """Return the events of a refused call with one run acknowledged of two."""
+        """Return the events of refused calls with one run acknowledged of two."""
         agent = runner()
         agent.on_renewed(SENDER, Renewed(10_000), 10.0)
         later = msgspec.structs.replace(RUN, number=2, job_id="00c0ffee00c0ffef")
         agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.0)
-        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.STARTED, 10.01)
+        answer_start(agent, 10.01, 210)
         agent.on_start_runs(SENDER, StartRuns(10_000, (later,)), 10.1)
         if draining:
             agent.on_report(
                 dataclasses.replace(REPORT, sequence=2, draining=True), 10.1
             )
         effects = agent.on_snapshot_failed(REPORT.boot_id, True, 10.17)
+        effects += agent.on_snapshot_failed(REPORT.boot_id, True, 10.8)
+        assert reported_ends(effects) == []
+        effects += agent.tick(10.9)
+        assert reported_ends(effects) == [(1, RunEnd.LOST), (2, RunEnd.LOST)]
         return [each for each in effects if isinstance(each, Event)]
 
-    def test_a_refused_call_names_the_runs_and_what_was_acknowledged(self):
+    def test_refused_calls_name_the_runs_and_what_was_acknowledged(self):
         (crashed,) = [
             each for each in self.crashing() if each.name is EventName.WORKER_CRASHED
         ]
@@ -156,11 +198,197 @@
             ("00c0ffee00c0ffef", 70, False),
         ]
 
+    def test_a_refused_connection_to_a_worker_that_runs_on_ends_nothing(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        effects = agent.on_snapshot_failed(REPORT.boot_id, True, 10.17)
+        assert not agent.accepting
+        assert agent.build_snapshot_request(10.2).lease_until_ms is None
+        row = ListedRun((RUN.job_id, 0, 0), 1, 0.4)
+        effects += look(agent, WorkerSnapshot(500, 1, (row,), ()), 10.3)
+        effects += agent.tick(10.91)
+        assert reported_ends(effects) == []
+        assert events(effects, EventName.RUN_FOREIGN) == []
+        assert agent.running == 1
+
+    def test_a_worker_that_was_only_silent_has_not_crashed(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        effects = agent.on_snapshot_failed(REPORT.boot_id, False, 10.5)
+        effects += agent.tick(10.89)
+        assert reported_ends(effects) == []
+        effects += agent.tick(10.9)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+        assert events(effects, EventName.WORKER_CRASHED) == []
+
+    def test_a_refused_call_then_another_boot_is_a_crash_at_once(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        agent.on_snapshot_failed(REPORT.boot_id, True, 10.03)
+        later = dataclasses.replace(REPORT, booted_at_ms=10_050, clock_ms=5)
+        effects = agent.on_report(later, 10.07)
+        (crashed,) = events(effects, EventName.WORKER_CRASHED)
+        assert [each["age_ms"] for each in crashed.fields["runs"]] == [30]
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+    def test_the_answer_of_another_id_is_a_crash_at_once(self):
+        agent = runner()
+        start(agent)
+        assert agent.on_other_id_answered(("i-0", 1), 10.02) == []
+        effects = agent.on_other_id_answered(REPORT.boot_id, 10.03)
+        assert len(events(effects, EventName.WORKER_CRASHED)) == 1
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
     def test_the_end_of_a_draining_worker_is_no_crash(self):
         names = [each.name for each in self.crashing(draining=True)]
         assert EventName.WORKER_CRASHED not in names
 
 
+class TestDepartures:
+    """A worker that announced its shutdown may still run for a moment."""
+
+    RUNNING = (ListedRun((RUN.job_id, 0, 0), 1, 0.4),)
+
+    def departed(self, booted_at_ms=1):
+        """Return an agent with a run, and the effects of a notice at 10.1 s."""
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        return agent, agent.on_departed(REPORT.id, booted_at_ms)
+
+    def test_its_runs_go_on_without_a_further_lease_until_their_ends_are_listed(self):
+        agent, effects = self.departed()
+        assert reported_ends(effects) == []
+        assert not agent.accepting
+        assert RequestRenewals() in effects
+        assert agent.build_snapshot_request(10.1).lease_until_ms is None
+        effects = look(agent, WorkerSnapshot(400, 1, self.RUNNING, ()), 10.2)
+        effects += agent.tick(10.95)
+        assert reported_ends(effects) == []
+        done = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
+        effects = look(agent, WorkerSnapshot(800, 1, (), (done,)), 11.0)
+        assert reported_ends(effects) == [(1, RunEnd.DONE)]
+        assert agent.state() is None
+
+    def test_its_runs_are_lost_when_it_is_silent_and_the_lease_has_expired(self):
+        agent, _ = self.departed()
+        effects = agent.on_snapshot_failed(REPORT.boot_id, True, 10.3)
+        effects += agent.tick(10.85)
+        assert reported_ends(effects) == []
+        effects += agent.tick(10.9)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+        assert events(effects, EventName.WORKER_CRASHED) == []
+
+    def test_a_notice_of_another_boot_is_ignored(self):
+        agent, effects = self.departed(booted_at_ms=2)
+        assert effects == []
+        assert agent.accepting
+
+    def test_a_report_after_a_notice_without_a_boot_revokes_it(self):
+        agent, effects = self.departed(booted_at_ms=0)
+        assert not agent.accepting
+        agent.on_report(dataclasses.replace(REPORT, sequence=2), 10.2)
+        assert not agent.accepting
+        effects = look(agent, WorkerSnapshot(400, 1, self.RUNNING, ()), 10.2)
+        assert agent.accepting
+        assert agent.build_snapshot_request(10.2).lease_until_ms is not None
+        assert reported_ends(effects) == []
+
+    @pytest.mark.parametrize(
+        ("raw", "born"),
+        [
+            (b"", 0),
+            (b'{"born": 17}', 17),
+            (b"{}", 0),
+            (b'{"born": "x"}', 0),
+            (b"\xff", 0),
+            (b"[" * 200_000, 0),
+            (b'{"born": 1e400}', 0),
+        ],
+    )
+    def test_the_boot_in_a_notice(self, raw, born):
+        assert wire.departed_boot_of(raw) == born
+
+
+class TestNextBootWithTheSameId:
+    """A boot under the id of the former may carry out commands sent to that one."""
+
+    LATER = dataclasses.replace(REPORT, booted_at_ms=10_050, clock_ms=5)
+    SECOND = msgspec.structs.replace(RUN, number=2, job_id="00c0ffee00c0ffef")
+    RUNNING = (ListedRun((RUN.job_id, 0, 0), 1, 0.1),)
+
+    def test_a_run_that_it_has_goes_on(self):
+        agent = runner()
+        start(agent)
+        assert reported_ends(answer_start(agent, 10.06, 8)) == []
+        snapshot = WorkerSnapshot(9, 10_050, self.RUNNING, ())
+        effects = look(agent, snapshot, 10.061)
+        effects += agent.on_report(self.LATER, 10.07)
+        effects += look(agent, WorkerSnapshot(15, 10_050, self.RUNNING, ()), 10.08)
+        assert reported_ends(effects) == []
+        assert events(effects, EventName.RUN_FOREIGN) == []
+        assert events(effects, EventName.WORKER_CRASHED) == []
+        assert agent.running == 1
+        done = ListedRun((RUN.job_id, 0, 0), 1, 1.0, 1, RunEnd.DONE)
+        effects = look(agent, WorkerSnapshot(90, 10_050, (), (done,)), 10.2)
+        assert reported_ends(effects) == [(1, RunEnd.DONE)]
+
+    def test_a_start_without_an_answer_waits_for_its_first_snapshot(self):
+        agent = runner()
+        start(agent)
+        key = (SENDER.incarnation, 1)
+        agent.on_start_answered(key, StartAnswer.NO_ANSWER, 10.06)
+        effects = agent.on_report(self.LATER, 10.07)
+        assert reported_ends(effects) == []
+        effects = look(agent, WorkerSnapshot(15, 10_050, (), ()), 10.08)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+    def test_a_run_that_the_former_boot_acknowledged_is_in_the_crash_report(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        start(agent, 10.02, self.SECOND)
+        agent.on_snapshot_failed(REPORT.boot_id, False, 10.03)
+        effects = agent.on_report(self.LATER, 10.07)
+        effects += look(agent, WorkerSnapshot(15, 10_050, (), ()), 10.08)
+        (crashed,) = events(effects, EventName.WORKER_CRASHED)
+        rows = [(row["age_ms"], row["acknowledged"]) for row in crashed.fields["runs"]]
+        assert rows == [(30, True), (10, False)]
+        crashes = {message.crash for _, message in messages(effects, RunsEnded)}
+        ((first, second),) = [each.runs for each in crashes]
+        assert (first.acknowledged, second.acknowledged) == (True, False)
+        ends = reported_ends(effects)
+        assert ends == [(1, RunEnd.LOST), (2, RunEnd.LOST)]
+
+    def test_a_run_that_goes_on_is_not_in_the_crash_report(self):
+        agent = runner()
+        start(agent, run=self.SECOND)
+        answer_start(agent, 10.01, 210, number=2)
+        start(agent, 10.02)
+        effects = agent.on_report(self.LATER, 10.07)
+        effects += look(agent, WorkerSnapshot(15, 10_050, self.RUNNING, ()), 10.08)
+        (crashed,) = events(effects, EventName.WORKER_CRASHED)
+        assert [row["job"] for row in crashed.fields["runs"]] == [self.SECOND.job_id]
+        assert reported_ends(effects) == [(2, RunEnd.LOST)]
+        assert agent.running == 1
+
+    def test_acknowledged_runs_end_at_once(self):
+        agent = runner()
+        start(agent)
+        answer_start(agent, 10.01, 210)
+        effects = agent.on_report(self.LATER, 10.07)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+    def test_commands_to_another_id_do_not_reach_it(self):
+        agent = runner()
+        start(agent)
+        effects = agent.on_report(dataclasses.replace(self.LATER, id="i-2"), 10.07)
+        assert reported_ends(effects) == [(1, RunEnd.LOST)]
+
+
 class TestReports:
     def test_a_changed_capacity_is_reported_to_dispatchers_at_once(self):
         agent = runner()
@@ -172,3 +400,31 @@
         assert agent.state().free_resources == Resources(9000, 900, 0)
         same = dataclasses.replace(report, sequence=3)
         assert agent.on_report(same, 10.2) == []
+
+
+class TestRunsThatAgentDidNotStart:
+    """The log tells a run that was reported as ended too early from any other."""
+
+    def test_the_report_of_its_end_is_in_the_event(self):
+        agent = runner()
+        agent.on_renewed(SENDER, Renewed(10_000), 10.0)
+        agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.0)
+        agent.on_start_answered((SENDER.incarnation, 1), StartAnswer.REJECTED, 10.1)
+        event = self._foreign(agent, (RUN.job_id, 0, 0))
+        assert event.fields["reported"] == RunEnd.NOT_STARTED.value
+        assert event.fields["proof"] == "not started"
+        assert event.fields["dispatcher"] == SENDER.address
+        assert event.fields["reported_ms_ago"] == 400
+
+    def test_a_run_of_a_former_process_was_never_reported(self):
+        event = self._foreign(runner(), ("00c0ffee00c0ffef", 0, 0))
+        assert event.fields["reported"] is None
+
+    @staticmethod
+    def _foreign(agent, task):
+        """Return the event of a snapshot that lists an unknown run."""
+        snapshot = WorkerSnapshot(500, 1, (ListedRun(task, 1, 0.5),), ())
+        effects = look(agent, snapshot, 10.5)
+        (event,) = [each for each in effects if isinstance(each, Event)]
+        assert event.name is EventName.RUN_FOREIGN
+        return event
