Blame a task only for crashes that are unlikely to come by chance

What callers and operators saw: workers that crash by themselves made jobs suspect, which then waited for a worker of their own, and gave some up (failed) though none of their tasks was at fault.

Cause: a task was given up after two crashes shortly after its start, or three in all, however often workers crashed that ran something else. With sixty in a hundred workers crashing each second, some tasks meet that many by chance.

Change: the recent crashes that no task explains and under which a task did not run give a base rate per worker and second. A task is suspect or given up only if its crashes are unlikely at that rate: that all its runs ended so early, or at the same age. Without other crashes nothing changes. The tick updates the suspects only after a change, which is less work than before.

--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -38,6 +38,7 @@
         self._crashes = crashes
         self._outstanding = outstanding
         self._service_of = service_of
+        crashes.set_workers(workers)
         self._confinement = Confinement(workers)
         self._confined_queues = frozenset()
 
--- a/ragwortlug/policy/crash_history.py
+++ b/ragwortlug/policy/crash_history.py
@@ -5,8 +5,13 @@
 runs that had just started, or to all if none had. A task is given up once several
 crashes point to it, or came at the same age of its run; these no longer count against
 others. A task that ends well is cleared.
+
+Workers may also crash whatever they run. The crashes that no task explains give the
+rate at which that happens. A task is blamed only for crashes that are unlikely at that
+rate.
 """
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
@@ -28,9 +33,16 @@
 RISKY_CRASHES = 3
 SAFE_JOBS = 20
 RISKY_S = 30.0
+# Crashes of this latest time count for the rate at which workers crash by themselves.
+BASE_RATE_S = 10.0
+# A task is suspect if its crashes come by chance with less than this probability, and
+# given up with less than the other: of many tasks, a few meet several crashes.
+MAX_SUSPECT_CHANCE = 0.003
+MAX_GIVEN_UP_CHANCE = 0.00001
 # No caller waits longer, so no task returns later.
 KEEP_S = 60.0
 MAX_KEPT_CRASHES = 256
+MS_PER_S = 1000.0
 
 
 @dataclass(slots=True)
@@ -108,11 +120,20 @@
     """
 
     def __init__(self):
+        # All known workers, of which only the number counts.
+        self._workers = ()
+        # Monotonic seconds of the latest report or tick.
+        self._now = 0.0
         self._crashes = deque(maxlen=MAX_KEPT_CRASHES)
         # The `_TaskCrashes` of each task: job id, step and index.
         self._tasks = {}
+        # The tasks that are suspect, and the ids of their jobs.
+        self._suspects = set()
         self._suspect_jobs = frozenset()
         self._given_up_jobs = frozenset()
+        # Crashes, tasks and recent crashes that the latest tick counted, None for a
+        # change since.
+        self._counts = None
         self._queues = {}
         # Monotonic seconds and queue of each crash that points to one queue only.
         self._queue_crashes = deque(maxlen=MAX_KEPT_CRASHES)
@@ -129,6 +150,10 @@
         """Return the names of the queues whose jobs are likely to crash workers."""
         return frozenset(filter(self.is_risky, self._queues))
 
+    def set_workers(self, workers):
+        """Set the iterable of all known workers, which may change with time."""
+        self._workers = workers
+
     def record(self, agent, message, now):
         """Record a crash that an agent reports.
 
@@ -147,7 +172,8 @@
         key = (agent, message.number)
         if key in self._seen:
             return []
-        self._seen[key] = now
+        self._seen[key] = self._now = now
+        self._counts = None
         crash = _Crash(now, {})
         for run in message.runs:
             task = (run.job_id, run.step, run.index)
@@ -188,7 +214,9 @@
         if self._tasks.pop(task, None) is not None:
             for crash in self._crashes:
                 crash.runs.pop(task, None)
-            self._update_jobs()
+            self._suspects.discard(task)
+            self._counts = None
+            self._update_job_ids()
 
     def on_job_done(self, queue_name):
         """Record a job that has ended well."""
@@ -200,6 +228,7 @@
         """Forget what is old, and end the risk of queues."""
         if not self._seen:
             return
+        self._now = now
         while self._crashes and now - self._crashes[0].at > KEEP_S:
             self._crashes.popleft()
         self._tasks = {
@@ -213,7 +242,10 @@
             for key, seen_at in self._seen.items()
             if now - seen_at <= 2 * KEEP_S
         }
-        self._update_jobs()
+        counts = (len(self._crashes), len(self._tasks), len(self._base_crashes()))
+        if counts != self._counts:
+            self._counts = counts
+            self._update_jobs()
         ended = [
             name
             for name, queue in self._queues.items()
@@ -249,30 +281,67 @@
                     recent[task] += task in recent_runs
                     unambiguous[task] += task in recent_runs and is_only_job
         regular = {task for task, ages in ages_ms.items() if _is_regular(ages)}
-        causes = regular | {
+        candidates = regular | {
             task
             for task in total
             if total[task] >= MAX_CRASHES
             or (recent[task] >= MAX_RECENT_CRASHES and unambiguous[task])
         }
+        if not candidates:
+            return None
+        base_rate_of = self._base_rates()
+        causes = {
+            task
+            for task in candidates
+            if _chance(ages_ms[task], base_rate_of(task)) < MAX_GIVEN_UP_CHANCE
+        }
 
         def weight(task):
             return (task in regular, recent[task], total[task], task)
 
         return max(causes, key=weight, default=None)
 
+    def _base_rates(self):
+        """Return the crashes per second and worker that no task explains.
+
+        Returns
+        -------
+        callable
+            Returns the rate of the crashes that were not under a task; called with
+            the task, or with None for the rate of all.
+        """
+        crashes = self._base_crashes()
+        under = Counter()
+        for crash in crashes:
+            under.update(crash.runs.keys())
+        worker_s = BASE_RATE_S * max(sum(1 for _ in self._workers), 1)
+        return lambda task: (len(crashes) - under[task]) / worker_s
+
+    def _base_crashes(self):
+        """Return the recent crashes that no task explains, a list."""
+        return [crash for crash in self._crashes if self._now - crash.at <= BASE_RATE_S]
+
     def _update_jobs(self):
         """Determine the jobs that are suspect, and those that are given up."""
-        suspects = set()
-        counts = Counter()
+        base_rate_of = self._base_rates()
+        recent = set()
+        ages_ms = {}
         for crash in self._crashes:
-            suspects |= {run.job_id for run in crash.recent_runs.values()}
-            if not crash.recent_runs:
-                counts.update(crash.runs.keys())
-        suspects.update(
-            task[0] for task, count in counts.items() if count >= SUSPECT_CRASHES
-        )
-        self._suspect_jobs = frozenset(suspects)
+            recent_runs = crash.recent_runs
+            recent |= recent_runs.keys()
+            for task, run in (recent_runs or crash.runs).items():
+                ages_ms.setdefault(task, []).append(run.age_ms)
+        self._suspects = {
+            task
+            for task, ages in ages_ms.items()
+            if (task in recent or len(ages) >= SUSPECT_CRASHES)
+            and _chance(ages, base_rate_of(task)) < MAX_SUSPECT_CHANCE
+        }
+        self._update_job_ids()
+
+    def _update_job_ids(self):
+        """Update the ids of the jobs that are suspect, and of those given up."""
+        self._suspect_jobs = frozenset(task[0] for task in self._suspects)
         self._given_up_jobs = frozenset(
             task[0] for task, crashes in self._tasks.items() if crashes.given_up
         )
@@ -297,3 +366,26 @@
 def _is_regular(ages_ms):
     """Return whether a task crashed enough workers at the same age of its run."""
     return len(ages_ms) >= MAX_CRASHES and max(ages_ms) - min(ages_ms) <= SAME_AGE_MS
+
+
+def _chance(ages_ms, rate):
+    """Return how likely all runs of a task end so early, or at the same age, by chance.
+
+    Parameters
+    ----------
+    ages_ms : list of int
+        How long each of its runs had lasted when its worker crashed.
+    rate : float
+        The crashes per second and worker that have nothing to do with it.
+    """
+    longest_s = max(RECENT_START_MS, *ages_ms) / MS_PER_S
+    chance = _crash_probability(rate, longest_s) ** len(ages_ms)
+    if _is_regular(ages_ms):
+        same_age = _crash_probability(rate, 2 * SAME_AGE_MS / MS_PER_S)
+        chance = min(chance, same_age ** (len(ages_ms) - 1))
+    return chance
+
+
+def _crash_probability(rate, duration_s):
+    """Return how likely a worker crashes within a time at this rate."""
+    return 1.0 - math.exp(-rate * duration_s)
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -109,6 +109,56 @@
         assert not history.is_suspect(JOB)
 
 
+class TestBaseRate:
+    """Crashes that come whatever workers run are no evidence."""
+
+    def crash_by_themselves(self, history, count, first=100):
+        """Record that many crashes, each shortly after the start of another job.
+
+        They come every 0.2 s, on eleven workers, until about second 10.
+        """
+        history.set_workers(range(11))
+        given_up = []
+        for number in range(first, first + count):
+            now = 10.0 - 0.2 * (first + count - number)
+            given_up += crash(history, number, now, 10, job_id=f"{number:016x}")
+        return given_up
+
+    def test_frequent_crashes_make_no_job_suspect(self):
+        history = CrashHistory()
+        assert self.crash_by_themselves(history, 30) == []
+        crash(history, 1, 10.0, 10)
+        assert not history.is_suspect(JOB)
+        assert history.is_calm
+
+    def test_one_task_is_proven_by_the_third_crash_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        assert crash(history, 1, 10.0, 10) == []
+        assert crash(history, 2, 10.1, 10) == []
+        assert crash(history, 3, 10.2, 10) == [JOB]
+
+    def test_a_task_that_crashes_late_is_proven_by_the_fifth_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 50)
+        given_up = [crash(history, n, 10.0 + 0.1 * n, 80) for n in range(1, 6)]
+        assert [JOB] in given_up
+
+    def test_a_long_run_is_not_given_up_for_three_of_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        for number, age_ms in enumerate((900, 400, 700)):
+            assert crash(history, number, 10.0, age_ms) == []
+        assert not history.is_given_up(JOB)
+
+    def test_suspicion_returns_once_they_have_ceased(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        history.expire(21.0)
+        crash(history, 1, 21.0, 10)
+        assert history.is_suspect(JOB)
+
+
 class TestQueues:
     def risky(self):
         """Return a history in which two jobs of the queue are given up by second 1."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,7 @@
 """Plays of tasks that crash the workers that start them."""
 
+import random
+
 import pytest
 
 from ragwortlug.codes import Code
@@ -21,13 +23,49 @@
 LEASE_S = RestartSettings().lease_ms / 1000
 
 
+# Workers that crash by themselves: how often, which share, and how long they are down.
+OFTEN = (1.1, 0.6, (0.02, 0.37))
+
+
+def crash_by_themselves(play, every_s, share, downtimes_s, together):
+    """Let a share of the workers crash again and again, until `UNTIL_S`.
+
+    Parameters
+    ----------
+    together : bool
+        Whether they crash at the same moment.
+    """
+    rng = random.Random(play.seed)
+
+    def crash(agent):
+        if agent.worker.up:
+            play.crash_worker(agent, rng.uniform(*downtimes_s))
+
+    def strike():
+        if play.now < UNTIL_S:
+            for agent in rng.sample(play.agents, round(share * len(play.agents))):
+                wait_s = 0.0 if together else rng.uniform(0.0, every_s)
+                play.at(wait_s, lambda each=agent: crash(each))
+            play.at(every_s, strike)
+
+    play.at(FROM_S, strike)
+
+
 def play_crashing(
-    seed, share, faults=None, kill_entry_at=None, delay_s=0.01, deadline_s=DEADLINE_S
+    seed,
+    share,
+    faults=None,
+    kill_entry_at=None,
+    delay_s=0.01,
+    deadline_s=DEADLINE_S,
+    by_themselves=None,
+    together=False,
 ):
     """Return a play in which a share of the previews crash their workers.
 
     The load is what eleven workers carry without failures at half of their capacity.
     `delay_s` is the time from the start of a task until it crashes its worker.
+    `by_themselves` says how workers crash by themselves: `OFTEN`, or None for never.
     """
     play = Play(seed=seed, faults=faults or Faults()).build()
     play.crash_delay_s = delay_s
@@ -39,13 +77,15 @@
             caller = play.hand_in(kind, tasks, mean_s, deadline_s=deadline_s)
             if kind == PREVIEW and play.now > FROM_S:
                 previews.append(caller)
-                if len(previews) % round(1 / share) == 1:
+                if share and len(previews) % round(1 / share) == 1:
                     play.crashing.add(caller.job.id)
             wait_s = play.rng.expovariate(rate)
             play.at(wait_s, lambda: arrive(kind, rate, tasks, mean_s))
 
     play.at(0.0, lambda: arrive(PREVIEW, 12.0, 8, 0.12))
     play.at(0.0, lambda: arrive(STAMP, 36.0, 2, 0.4))
+    if by_themselves is not None:
+        crash_by_themselves(play, *by_themselves, together)
     if kill_entry_at is not None:
         play.at(kill_entry_at, lambda: play.kill_entry(play.homes[0], 0.5))
     play.run_until(UNTIL_S + REST_S)
@@ -108,6 +148,18 @@
         assert done >= 0.95 * len(stamps), f"{done} of {len(stamps)}"
 
 
+class TestWorkersThatCrashByThemselves:
+    """Crashes without any task at fault hide none that is."""
+
+    @pytest.mark.parametrize("delay_s", [0.01, 0.08])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_a_task_that_crashes_workers_is_given_up_among_them(self, seed, delay_s):
+        play = play_crashing(seed, 0.1, delay_s=delay_s, by_themselves=OFTEN)
+        counts = {task: len(moments) for task, moments in play.crashes.items()}
+        assert max(counts.values()) < MAX_STARTS, counts
+        assert_sound(play)
+
+
 class TestCapacityThatShrinks:
     """No start exceeds the capacity that a worker last reported."""
 
