Release a queue while workers crash whatever they run

Cause: once one job of a queue was given up, three crashes in 30 s that point to no other queue made the queue risky, however many crashes did not point to it; and it stayed so while its workers went on to crash.

Change: three such crashes count only if they are more than those that point to other queues or to none, and only while the base rate of crashes is low. A queue that was confined for them is released once that no longer holds. Two jobs that are given up make a queue risky as before, whatever the base rate: each is unlikely by chance.

--- a/ragwortlug/policy/crash_history.py
+++ b/ragwortlug/policy/crash_history.py
@@ -28,7 +28,8 @@
 # Crashes long after its start after which a task is suspect.
 SUSPECT_CRASHES = 2
 # A queue of which a job was given up is risky from the next such job on, or once that
-# many crashes point to no other queue, until enough of its jobs end well.
+# many crashes point to no other queue, and more than don't point to it, until enough of
+# its jobs end well.
 RISKY_JOBS = 2
 RISKY_CRASHES = 3
 SAFE_JOBS = 20
@@ -150,6 +151,14 @@
         """Return the names of the queues whose jobs are likely to crash workers."""
         return frozenset(filter(self.is_risky, self._queues))
 
+    @property
+    def _has_base_rate(self):
+        """Return whether workers crash so often that it tells nothing of a queue."""
+        chance = _crash_probability(
+            self._base_rates()(None), RECENT_START_MS / MS_PER_S
+        )
+        return chance >= MAX_SUSPECT_CHANCE
+
     def set_workers(self, workers):
         """Set the iterable of all known workers, which may change with time."""
         self._workers = workers
@@ -346,15 +355,28 @@
             task[0] for task, crashes in self._tasks.items() if crashes.given_up
         )
 
+    def _count_elsewhere(self, name, now):
+        """Return the crashes that neither a task explains nor point to a queue."""
+        return sum(
+            1
+            for crash in self._crashes
+            if now - crash.at <= RISKY_S
+            and all(run.queue != name for run in crash.recent_runs.values())
+        )
+
     def _update_queues(self, runs, now):
         """Update the risk of the queues that may have caused a crash."""
         counts = Counter(
             name for at, name in self._queue_crashes if now - at <= RISKY_S
         )
+        has_base_rate = self._has_base_rate
         for name, queue in self._queues.items():
-            queue.is_risky |= (
-                len(queue.jobs) >= RISKY_JOBS or counts[name] >= RISKY_CRASHES
-            )
+            if len(queue.jobs) >= RISKY_JOBS:
+                queue.is_risky = True
+            elif has_base_rate or self._count_elsewhere(name, now) >= counts[name]:
+                queue.is_risky = False
+            elif counts[name] >= RISKY_CRASHES:
+                queue.is_risky = True
         for run in runs:
             queue = self._queues.get(run.queue)
             may_be_cause = run.job_id in self._suspect_jobs | self._given_up_jobs
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -158,6 +158,41 @@
         crash(history, 1, 21.0, 10)
         assert history.is_suspect(JOB)
 
+    def test_a_queue_is_not_risky_for_one_job_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        for number in range(3):
+            crash(history, number, 10.0, 10)
+        assert history.is_given_up(JOB)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_is_released_if_they_go_on(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        crash(history, 2, 1.0, 10)
+        crash(history, 3, 2.0, 10, job_id=OTHER)
+        assert history.is_risky(QUEUE)
+        self.crash_by_themselves(history, 30)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_is_not_risky_while_more_crashes_do_not_point_to_it(self):
+        history = CrashHistory()
+        history.set_workers(range(11))
+        for number in range(4):
+            crash(history, 10 + number, 0.1 * number, 900, job_id=f"{number:016x}")
+        for number in range(3):
+            crash(history, number, 1.0, 10, job_id=JOB if number else OTHER)
+        assert history.is_given_up(JOB)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_of_which_two_jobs_are_proven_is_risky_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        for number in range(6):
+            job_id = JOB if number < 3 else OTHER
+            crash(history, number, 10.0 + 0.1 * number, 10, job_id=job_id)
+        assert history.is_risky(QUEUE)
+
 
 class TestQueues:
     def risky(self):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -25,6 +25,7 @@
 
 # Workers that crash by themselves: how often, which share, and how long they are down.
 OFTEN = (1.1, 0.6, (0.02, 0.37))
+LESS_OFTEN = (1.3, 0.4, (0.05, 0.4))
 
 
 def crash_by_themselves(play, every_s, share, downtimes_s, together):
@@ -149,7 +150,17 @@
 
 
 class TestWorkersThatCrashByThemselves:
-    """Crashes without any task at fault hide none that is."""
+    """Crashes without any task at fault confine and refuse nothing."""
+
+    @pytest.mark.parametrize("how", [OFTEN, LESS_OFTEN])
+    @pytest.mark.parametrize("together", [False, True])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_jobs_are_not_refused_for_them(self, seed, together, how):
+        play = play_crashing(seed, 0.0, by_themselves=how, together=together)
+        codes = [each.code for each in play.callers.values()]
+        assert Code.DEADLINE_UNREACHABLE not in codes
+        assert codes.count(Code.OK) >= 0.99 * len(codes)
+        assert_sound(play)
 
     @pytest.mark.parametrize("delay_s", [0.01, 0.08])
     @pytest.mark.parametrize("seed", range(3))
