--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -109,6 +109,99 @@
         assert not history.is_suspect(JOB)
 
 
+class TestBaseRate:
+    """Crashes that come whatever workers run are no evidence."""
+
+    def crash_by_themselves(self, history, count, first=100, age_ms=10):
+        """Record that many crashes, each some time after the start of another job.
+
+        They come every 0.2 s, on eleven workers, until about second 10.
+        """
+        history.set_workers(range(11))
+        given_up = []
+        for number in range(first, first + count):
+            now = 10.0 - 0.2 * (first + count - number)
+            given_up += crash(history, number, now, age_ms, job_id=f"{number:016x}")
+        return given_up
+
+    def test_frequent_crashes_make_no_job_suspect(self):
+        history = CrashHistory()
+        assert self.crash_by_themselves(history, 30) == []
+        crash(history, 1, 10.0, 10)
+        assert not history.is_suspect(JOB)
+        assert history.is_calm
+
+    def test_one_task_is_proven_by_the_third_crash_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        assert crash(history, 1, 10.0, 10) == []
+        assert crash(history, 2, 10.1, 10) == []
+        assert crash(history, 3, 10.2, 10) == [JOB]
+
+    def test_a_task_that_crashes_late_is_proven_by_the_fifth_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 50)
+        given_up = [crash(history, n, 10.0 + 0.1 * n, 80) for n in range(1, 6)]
+        assert [JOB] in given_up
+
+    def test_a_long_run_is_not_given_up_for_three_of_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        for number, age_ms in enumerate((900, 400, 700)):
+            assert crash(history, number, 10.0, age_ms) == []
+        assert not history.is_given_up(JOB)
+
+    def test_suspicion_returns_once_they_have_ceased(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        history.expire(21.0)
+        crash(history, 1, 21.0, 10)
+        assert history.is_suspect(JOB)
+
+    def test_a_queue_is_not_risky_for_one_job_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30, age_ms=400)
+        for number in range(3):
+            crash(history, number, 10.0, 10)
+        assert history.is_given_up(JOB)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_is_released_if_they_go_on(self):
+        history = CrashHistory()
+        crash(history, 1, 0.0, 10)
+        crash(history, 2, 1.0, 10)
+        crash(history, 3, 2.0, 10, job_id=OTHER)
+        assert history.is_risky(QUEUE)
+        self.crash_by_themselves(history, 30, age_ms=400)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_is_risky_if_they_all_point_to_it(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        for number in range(3):
+            crash(history, number, 10.0, 10)
+        assert history.is_given_up(JOB)
+        assert history.is_risky(QUEUE)
+
+    def test_a_queue_is_not_risky_while_more_crashes_do_not_point_to_it(self):
+        history = CrashHistory()
+        history.set_workers(range(11))
+        for number in range(4):
+            crash(history, 10 + number, 0.1 * number, 900, job_id=f"{number:016x}")
+        for number in range(3):
+            crash(history, number, 1.0, 10, job_id=JOB if number else OTHER)
+        assert history.is_given_up(JOB)
+        assert not history.is_risky(QUEUE)
+
+    def test_a_queue_of_which_two_jobs_are_proven_is_risky_among_them(self):
+        history = CrashHistory()
+        self.crash_by_themselves(history, 30)
+        for number in range(6):
+            job_id = JOB if number < 3 else OTHER
+            crash(history, number, 10.0 + 0.1 * number, 10, job_id=job_id)
+        assert history.is_risky(QUEUE)
+
+
 class TestQueues:
     def risky(self):
         """Return a history in which two jobs of the queue are given up by second 1."""
