Switch off the moved reports of free resources in the ablation

tests/ablation.py replaces single mechanisms to show what each is good for. It named methods that moved to ResourceReports; TestOffers of test_load.py failed with AttributeError since. The same mechanisms are switched off, the checks are unchanged.

--- a/tests/ablation.py
+++ b/tests/ablation.py
@@ -19,8 +19,8 @@
 from ragwortlug.codes import Code
 from ragwortlug.jobs import dispatcher, waiting_jobs
 from ragwortlug.jobs.demand_notifier import DemandNotifier
-from ragwortlug.jobs.leased import LeasedRunner
 from ragwortlug.jobs.permissions import Permissions
+from ragwortlug.jobs.resource_reports import ResourceReports
 from ragwortlug.jobs.run_feedback import RunFeedback
 from ragwortlug.lease_messages import RunsEnded, StartRuns
 from ragwortlug.policy.backlog import LateWork
@@ -219,9 +219,9 @@
     return lambda *arguments: msgspec.structs.replace(job_rank(*arguments), **replaced)
 
 
-def _offer_beside_report(runner, effects, now):
+def _offer_beside_report(reports, effects, now):
     """Report resources as free although they are offered, as before."""
-    return effects + runner._offer_resources(now)
+    return effects + reports.offer(now)
 
 
 def _reserved_even_from_receiver(permissions, _sender):
@@ -245,15 +245,15 @@
     ),
     "late jobs refused by forecast": ((LateWork, "unreachable", lambda *_: []),),
     "offers before reports": (
-        (LeasedRunner, "_offer_then_report", _offer_beside_report),
+        (ResourceReports, "offer_then_report", _offer_beside_report),
     ),
-    "remainders reported": ((LeasedRunner, "_report_remainder", lambda _: []),),
+    "remainders reported": ((ResourceReports, "report_remainder", lambda _: []),),
     "late answers to offers": (
         (Permissions, "reserved_from", _reserved_even_from_receiver),
     ),
     "demand with assignments": ((dispatcher, "StartRuns", _assignment_without_demand),),
     "offers at all": (
-        (LeasedRunner, "_offer_resources", lambda *_: []),
+        (ResourceReports, "offer", lambda *_: []),
         (DemandNotifier, "notify", lambda *_: []),
     ),
     "choice by speed": ((KnownWorkers, "update_slowdown", lambda *_: None),),
