--- a/ragwortlug/policy/crash_history.py
+++ b/ragwortlug/policy/crash_history.py
@@ -39,7 +39,7 @@
 # A task is suspect if its crashes come by chance with less than this probability, and
 # given up with less than the other: of many tasks, a few meet several crashes.
 MAX_SUSPECT_CHANCE = 0.003
-MAX_GIVEN_UP_CHANCE = 0.00001
+MAX_GIVEN_UP_CHANCE = 1e-7
 # No caller waits longer, so no task returns later.
 KEEP_S = 60.0
 MAX_KEPT_CRASHES = 256
