--- a/ragwortlug/jobs/ended_runs.py
+++ b/ragwortlug/jobs/ended_runs.py
@@ -42,7 +42,7 @@
         return key in self._by_assignment
 
     def add(self, key, local_run, end, run_ms, proof, now):
-        """Record how a run ended and that its dispatcher was told."""
+        """Record how a run ended, as it was reported to its dispatcher."""
         _add(self._by_assignment, key, (end, run_ms))
         attempt = (local_run.task, local_run.run.attempt)
         address = local_run.dispatcher.address
--- a/ragwortlug/jobs/isolation.py
+++ b/ragwortlug/jobs/isolation.py
@@ -4,9 +4,9 @@
 class Isolation:
     """Tracks whether an entry has lost contact with all other processes.
 
-    It has lost contact until it hears another entry, whose announcements tell which
-    jobs were submitted elsewhere, or until it has heard agents for so long that there
-    can be no other entry.
+    It has lost contact until another entry is in contact, whose announcements name the
+    jobs that were submitted elsewhere, or until agents alone have been in contact for
+    so long that there can be no other entry.
 
     Parameters
     ----------
--- a/ragwortlug/jobs/job_owners.py
+++ b/ragwortlug/jobs/job_owners.py
@@ -173,8 +173,8 @@
     def announcement(self, records, stopping, now, disputed=(), newcomer=None):
         """Return the message with all jobs that callers may submit elsewhere.
 
-        `disputed` are the ids of younger jobs to include. A `newcomer` is also told
-        of the jobs of other entries.
+        `disputed` are the ids of younger jobs to include. A `newcomer` also gets
+        those of other entries.
         """
         jobs = tuple(
             (job_id, round((now - record.arrived) * MS_PER_S))
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -95,7 +95,7 @@
             each.muted |= applies(each.source, each.target)
 
     def reset_source(self, applies):
-        """Reset whoever opened a connection; the other end is not told."""
+        """Reset whoever opened a connection; the other end sees nothing."""
         for each in tuple(self.open):
             if applies(each.source, each.target):
                 each.muted = True
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -210,7 +210,7 @@
 
 
 async def reset_callers(site, _callers, rng, for_s):
-    """Reset callers of an entry a few times; the entry is not told."""
+    """Reset callers of an entry a few times; the entry sees nothing."""
     entry = rng.choice(site.entries)
     over = site.witness.begin((callers_of(entry),))
     for _ in range(3):
