--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -118,7 +118,7 @@
     def calm(self, places, since, until):
         """Return whether nothing disturbed any of some places in a span of time."""
         return not any(
-            begins < until and ends > since
+            begins <= until and ends >= since
             for place in places
             for begins, ends in self._disturbed[place]
         )
