--- /dev/null
+++ b/review/lib/relay.py
@@ -0,0 +1,88 @@
+"""A relay on loopback that can hold what passes between the project's processes.
+
+A relay stands at the address that a process tells the others. A message names its sender
+by that address, so the relay learns who has opened a connection.
+"""
+
+import asyncio
+import contextlib
+
+CHUNK_BYTES = 65_536
+
+
+class Relay:
+    """Passes the bytes of connections to a process.
+
+    Parameters
+    ----------
+    listen, target : tuple of (str, int)
+        Where it listens, and where it passes connections on.
+    names : dict
+        Names of processes by the host that they tell.
+
+    Attributes
+    ----------
+    cut : callable
+        Called with the name of the process that opened a connection, or "" if unknown;
+        returns whether nothing passes now, in either direction.
+    """
+
+    def __init__(self, listen, target, names=None):
+        self._listen = listen
+        self._target = target
+        self._names = names or {}
+        self._server = None
+        self._tasks = set()
+        self.cut = lambda _source: False
+
+    async def start(self):
+        """Start listening."""
+        self._server = await asyncio.start_server(self._accept, *self._listen)
+
+    async def stop(self):
+        """Stop listening and drop all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(self, reader, writer):
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader, writer):
+        passage = {"source": ""}
+        inner = None
+        try:
+            inner_reader, inner = await asyncio.open_connection(*self._target)
+            await asyncio.gather(
+                self._pass_on(passage, reader, inner, True),
+                self._pass_on(passage, inner_reader, writer, False),
+            )
+        except OSError:
+            pass
+        finally:
+            for each in (writer, inner):
+                if each is not None:
+                    with contextlib.suppress(OSError):
+                        each.transport.abort()
+
+    async def _pass_on(self, passage, reader, writer, inward):
+        while data := await reader.read(CHUNK_BYTES):
+            if inward and not passage["source"]:
+                passage["source"] = self._source_of(data)
+            # Bytes that a partition holds up are passed on if it ends in time.
+            while self.cut(passage["source"]):
+                await asyncio.sleep(0.01)
+            writer.write(data)
+            await writer.drain()
+        while self.cut(passage["source"]):
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    def _source_of(self, data):
+        for host, name in self._names.items():
+            if f"tcp://{host}:".encode() in data:
+                return name
+        return ""
