Review case 1: two runs of a task while entries can't hear each other

Cause: an entry takes another one's silence of 1.5 s for the end of its runs, while that one goes on as long as it hears any agent. The relay names the sender of a message by its first address, and the stand-in worker lets leases lapse on time. Scripts end their programs when told to stop.

--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -31,6 +31,8 @@
 # The delay with which the platform starts a process again.
 RESTART_S = 0.5
 METRICS_PORT = 9464
+MAX_CASE_S = 110.0
+LAPSE_CHECK_S = 0.002
 PROBE_INTERVAL_S = 1.0
 MISSES_TO_REMOVE = 2
 
@@ -168,6 +170,28 @@
             self._record.write(f"platform: {self.name} is started again")
 
 
+class Worker(PlatformWorker):
+    """The project's stand-in for a worker, whose leases lapse on time."""
+
+    _lapsing = None
+
+    async def start(self, host, port, address=""):
+        """Start serving, and end what runs when its lease expires."""
+        await super().start(host, port, address)
+        self._lapsing = asyncio.create_task(self._lapse())
+
+    async def stop(self):
+        """Stop serving."""
+        if self._lapsing is not None:
+            self._lapsing.cancel()
+        await super().stop()
+
+    async def _lapse(self):
+        while True:
+            self._end_expired()
+            await asyncio.sleep(LAPSE_CHECK_S)
+
+
 class Balancer:
     """The platform's balancer: probes readiness and chooses the node of a channel."""
 
@@ -184,8 +208,9 @@
 
     async def stop(self):
         """Stop probing."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     def node_for(self, zone):
         """Return the entry that gets a new channel of a client in a zone."""
@@ -290,6 +315,13 @@
                     (self.own("store"), self._store_port),
                 )
                 await self.relays[f"store of {name}"].start()
+        if self.relayed:
+            for name in self.entries:
+                self.relays[f"front of {name}"] = Relay(
+                    (self.told(name), self.front_port),
+                    (self.own(name), self.front_port),
+                )
+                await self.relays[f"front of {name}"].start()
         for name in (*self.entries, *self.agents):
             await self._launch(name)
         for name in self.agents:
@@ -299,9 +331,9 @@
 
     async def stop(self):
         """End everything that was started."""
-        await self.balancer.stop()
         for program in self.programs.values():
             await program.stop()
+        await self.balancer.stop()
         for worker in self.workers.values():
             await worker.stop()
         for relay in self.relays.values():
@@ -360,9 +392,7 @@
 
     async def _start_worker(self, name):
         url = f"http://{self.own(name)}:{self._control_port}"
-        worker = PlatformWorker(
-            SERVICE, self.zone_of(name), url, HEARTBEAT_S, self._observe
-        )
+        worker = Worker(SERVICE, self.zone_of(name), url, HEARTBEAT_S, self._observe)
         worker.name = name.replace("agent", "worker")
         worker.id = f"i-{name}"
         self.workers[name] = worker
@@ -425,7 +455,7 @@
 
     async def _call(self, method, job_id, timeout_s, headers, body):
         site = self._site
-        url = f"http://{site.own(self.entry)}:{site.front_port}{PREFIX}{job_id}"
+        url = f"http://{site.told(self.entry)}:{site.front_port}{PREFIX}{job_id}"
         site.record.write(f"client: {method} {job_id} to {self.entry}")
         try:
             async with self._session.request(
@@ -524,8 +554,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"case: trouble={trouble}")
     try:
-        breaches = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
-    except Exception as error:
+        breaches = asyncio.run(_play_until_stopped(play, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"case: couldn't run: {error!r}")
         print(f"couldn't run: {error!r}")
         return 2
@@ -537,3 +567,10 @@
     print(f"the rule {result}")
     record.close()
     return 1 if breaches else 0
+
+
+async def _play_until_stopped(play, record, trouble):
+    """Play a case, and end its programs also if the script is told to stop."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(play(record, trouble), MAX_CASE_S)
