Review: keep the stand-ins beside the cases, not in a folder of their own

Cause: each folder of review/ is a case. Added: nothing; modules moved, and the check of the stand-ins writes no files.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from review.lib.site import (
+from review.site import (
     PREFIX,
     ZONES,
     Channel,
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,8 @@
 #!/bin/sh
-# Prepares the stand-ins that the scripts start. They are Python modules, the project's
-# own in standins/ and those of the review in review/lib/, and use the packages that the
-# build of the deploy file has put into target/deps.
+# Checks the stand-ins that the scripts start. They are Python modules and need no build:
+# the project's own in standins/, and site.py, relay.py and cancels.py here. Their packages
+# come with the build of the deploy file, in target/deps.
 set -eu
 cd "$(dirname "$0")/.."
-export PYTHONPATH=target/deps
-python3 -S -m compileall -q standins review/lib
-python3 -S -c "import aiohttp, standins.platform, review.lib.site"
+PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1 python3 -S -c \
+    "import aiohttp, standins.platform, review.site, review.relay, review.cancels"
--- a/review/lib/cancels.py
+++ b/review/cancels.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from review.lib.site import Channel, new_id, step
+from review.site import Channel, new_id, step
 
 CANCEL_S = 3.0
 STOP_S = 0.05
--- a/review/lib/site.py
+++ b/review/site.py
@@ -18,10 +18,10 @@
 
 import aiohttp
 
-from review.lib.relay import Relay
+from review.relay import Relay
 from standins.platform import PlatformStore, PlatformWorker
 
-ROOT = Path(__file__).parents[2]
+ROOT = Path(__file__).parents[1]
 ZONES = ("patan", "bhaktapur", "kirtipur")
 SERVICE = "carving"
 HOST_NAME = "a.example"
