Let estimates that refuse jobs end by themselves

Cause: a belief that refuses work and learns only from admitted work. The run time of a queue was the mean over tasks of any size, from the first one on and for good; the slowdown of a worker moved only with its runs; a declared time was believed unmeasured.

Evidence: plays with the dispatchers alone.

Change: tasks are compared by declared size, measurements fade, the bound that refuses is the estimate less its typical error, unmeasured slowdowns fade, and single jobs check an estimate that goes on refusing.

--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -27,6 +27,8 @@
         "queue": record.queue.name,
         "tasks": len(record.tasks),
         "chain_ms": round(critical_path_ms),
+        "least_ms": round(record.least_path_ms(now)),
+        "checks_estimate": record.checks_estimate,
         "limit_ms": whole_ms(record.deadline - now),
         "jobs": jobs,
         "workers": workers,
--- a/ragwortlug/jobs/restartable.py
+++ b/ragwortlug/jobs/restartable.py
@@ -65,17 +65,21 @@
     arrived, deadline, objective_at : float
         Monotonic seconds at which the job was submitted, at which the caller stops
         waiting, and from which the latency objective is missed.
-    expected_ms : sequence of float
-        Expected run time of one task of each step.
+    estimates : sequence of RunTimeEstimate
+        Estimated run time of one task of each step.
     """
 
-    def __init__(self, job, queue, arrived, deadline, objective_at, expected_ms):
+    def __init__(self, job, queue, arrived, deadline, objective_at, estimates):
+        expected_ms = [estimate.expected_ms for estimate in estimates]
         self._tasks = tuple(
             TaskRecord(number, index, expected_ms[number])
             for number, step in enumerate(job.steps)
             for index in range(step.count)
         )
         self._expected_ms = tuple(expected_ms)
+        self._least_share = min(
+            estimate.least_ms / max(estimate.expected_ms, 1.0) for estimate in estimates
+        )
         self._remaining = [step.count for step in job.steps]
         self._waiting = [step.count for step in job.steps]
         self.job = job
@@ -86,6 +90,7 @@
         self.objective_at = objective_at
         self._assigned = 0
         self._may_have_run = False
+        self._checks_estimate = False
         self.requests = set()
 
     @property
@@ -98,6 +103,11 @@
         """Return whether a task may have started; refused assignments don't count."""
         return self._may_have_run or self._assigned > 0
 
+    @property
+    def checks_estimate(self):
+        """Return whether the job was admitted against its estimate, to check it."""
+        return self._checks_estimate
+
     @property
     def tasks(self):
         """Return all tasks."""
@@ -140,6 +150,20 @@
             path_ms.append(preceding_ms + self._step_remaining_ms(number, now))
         return max(path_ms, default=0.0)
 
+    def least_path_ms(self, now):
+        """Return the milliseconds that the remaining critical path takes at least.
+
+        This is the bound by which jobs are refused: the expected time less the typical
+        error of such estimates, or 0 for a job that checks its estimate.
+        """
+        if self._checks_estimate:
+            return 0.0
+        return self._least_share * self.remaining_path_ms(now)
+
+    def check_estimate(self):
+        """Let the job run although it is estimated to miss its deadline."""
+        self._checks_estimate = True
+
     def attach(self, request_id, deadline):
         """Add a request whose caller waits until a deadline, in monotonic seconds."""
         self.requests.add(request_id)
--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -142,7 +142,7 @@
             if not workers:
                 return unreachable
             wait_s = self._confinement.wait_s(record.queue.service, now) + ahead_s
-            path_ms = record.remaining_path_ms(now)
+            path_ms = record.least_path_ms(now)
             if not record.begun and misses_deadline(
                 path_ms, record.deadline, now + wait_s
             ):
--- a/ragwortlug/jobs/run_feedback.py
+++ b/ragwortlug/jobs/run_feedback.py
@@ -22,9 +22,17 @@
         self._workers = workers
         self._run_time_estimator = RunTimeEstimator()
 
-    def expected_run_ms(self, queue_name, declared_ms):
-        """Return the expected run time, in ms, of a task on an average worker."""
-        return self._run_time_estimator.expected_run_ms(queue_name, declared_ms)
+    def estimates(self, queue_name, steps, now):
+        """Return the `RunTimeEstimate` of a task of each step, a list."""
+        return [
+            self._run_time_estimator.estimate(queue_name, step.estimate_ms, now)
+            for step in steps
+        ]
+
+    def expire(self, now):
+        """Forget what was measured too long ago."""
+        self._run_time_estimator.expire(now)
+        self._workers.expire_slowdowns(now)
 
     def on_run_ended(self, worker, record, task, end, run_ms, now):
         """Record how a run ended; return the events of an ejection.
@@ -37,9 +45,10 @@
         if end is RunEnd.DONE:
             worker.health.on_succeeded()
             declared_ms = record.job.steps[task.step].estimate_ms
-            self._workers.update_slowdown(worker, run_ms / max(task.expected_ms, 1.0))
+            slowdown = run_ms / max(task.expected_ms, 1.0)
+            self._workers.update_slowdown(worker, slowdown, now)
             self._run_time_estimator.add_run_time(
-                record.queue.name, declared_ms, run_ms / worker.slowdown
+                record.queue.name, declared_ms, run_ms / worker.slowdown, now
             )
         elif end is RunEnd.FAILED:
             for blamed_worker in task.blamed_workers:
@@ -74,7 +83,7 @@
                 return False
             task.rescheduled = True
             slowdown = (run_ms + remaining_run_ms) / max(task.expected_ms, 1.0)
-            self._workers.update_slowdown(worker, slowdown, STALL_WEIGHT)
+            self._workers.update_slowdown(worker, slowdown, now, STALL_WEIGHT)
         worker.health.on_failed(now)
         task.excluded_agents.add(worker.peer.incarnation)
         return True
--- a/ragwortlug/policy/backlog.py
+++ b/ragwortlug/policy/backlog.py
@@ -86,7 +86,7 @@
         late_work_ahead = 0.0
         for record in late:
             starts_at = now + self.wait_s(late_work_ahead)
-            path_ms = record.remaining_path_ms(now)
+            path_ms = record.least_path_ms(now)
             if record.begun or not misses_deadline(path_ms, record.deadline, starts_at):
                 late_work_ahead += record.remaining_work()
                 continue
--- a/ragwortlug/policy/known_workers.py
+++ b/ragwortlug/policy/known_workers.py
@@ -20,6 +20,9 @@
 SLOWDOWN_WEIGHT = 0.1
 STALL_WEIGHT = 0.3
 MAX_SLOWDOWN = 4.0
+# A slowdown not measured for the first time loses half of its excess in the second.
+SLOWDOWN_VALID_S = 2.0
+SLOWDOWN_HALF_LIFE_S = 5.0
 # Relative increase of the run time on a fully used worker.
 LOAD_PENALTY = 0.15
 # Random cost that breaks ties between workers.
@@ -47,8 +50,9 @@
         Monotonic seconds of the latest message, and of the latest renewal.
     free_resources : Resources
         Resources believed to be free.
-    slowdown : float
-        Ratio of run times on this worker to those of an average worker.
+    slowdown, slowdown_updated_at : float
+        Ratio of run times on this worker to those of an average worker, and the
+        monotonic seconds of its latest change.
     outstanding : dict
         Assignments that have not ended: number to monotonic seconds at which each
         was sent.
@@ -71,6 +75,7 @@
     renewed_at: float
     free_resources: Resources = field(default_factory=Resources)
     slowdown: float = 1.0
+    slowdown_updated_at: float = 0.0
     outstanding: dict = field(default_factory=dict)
     recent_assignments: list = field(default_factory=list)
     health: WorkerHealth = field(
@@ -322,10 +327,23 @@
         ]
         return min(preferred or fitting, key=self._cost, default=None)
 
-    def update_slowdown(self, worker, slowdown, weight=SLOWDOWN_WEIGHT):
+    def update_slowdown(self, worker, slowdown, now, weight=SLOWDOWN_WEIGHT):
         """Add the ratio of one run's time to its expected time to the worker's mean."""
         slowdown = min(slowdown, MAX_SLOWDOWN)
         worker.slowdown += weight * (slowdown - worker.slowdown)
+        worker.slowdown_updated_at = now
+
+    def expire_slowdowns(self, now):
+        """Let slowdowns that are no longer measured approach 1.
+
+        A worker that is avoided because it was slow gets no runs that show otherwise.
+        """
+        for worker in self._workers.values():
+            elapsed_s = now - worker.slowdown_updated_at - SLOWDOWN_VALID_S
+            if elapsed_s > 0.0:
+                fading = 0.5 ** (elapsed_s / SLOWDOWN_HALF_LIFE_S)
+                worker.slowdown = 1.0 + fading * (worker.slowdown - 1.0)
+                worker.slowdown_updated_at = now - SLOWDOWN_VALID_S
 
     def _is_recently_contacted(self, worker, now):
         """Return whether the latest message of the agent is recent enough."""
--- a/tests/test_restartable.py
+++ b/tests/test_restartable.py
@@ -13,6 +13,7 @@
 from ragwortlug.jobs.permissions import Permissions
 from ragwortlug.jobs.restartable import RestartableRecord, RunState
 from ragwortlug.lease_settings import RestartSettings
+from ragwortlug.policy.run_time_estimator import RunTimeEstimate
 from ragwortlug.restartable_model import Queue, Resources, RestartableJob, RunEnd, Step
 from tests.play import Faults, Play
 
@@ -217,7 +218,8 @@
         )
         job = RestartableJob("00c0ffee00c0ffee", "text", steps)
         queue = Queue("q", "a.example", "/p/", "carving")
-        record = RestartableRecord(job, queue, 0.0, 9.0, 5.0, [100.0, 50.0])
+        estimates = [RunTimeEstimate(each, each) for each in (100.0, 50.0)]
+        record = RestartableRecord(job, queue, 0.0, 9.0, 5.0, estimates)
         for number, (which, end) in enumerate(moves, 1):
             ready = list(record.ready())
             if which < len(ready):
