Start no run by a report that a former process stored

Callers saw nothing; operators saw LIMIT: after an agent's restart beside a worker whose capacity had shrunk, it gave out the capacity of the worker's boot, which the store keeps.

Cause: the stored first report of a boot has an age that nobody knows, and was used as the worker's state. Now it only names the boot, which is fenced and looked at; runs start after the worker's own next report. That covers draining, labels and data centre too.

The six plays of test_an_agent_that_restarts_starts_nothing_by_a_former_capacity fail if the stored report is used as before. Fake agents now get a stored report when they restart, and the worker's next one up to 1.5 s later, as on the platform.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -53,6 +53,7 @@
         self._worker = None
         self._lease = WorkerLease()
         self._has_snapshot = False
+        self._has_current_report = False
         self._departed = False
         self._last_end_number = 0
         self._runs = {}
@@ -86,6 +87,7 @@
         return (
             self._worker is not None
             and self._has_snapshot
+            and self._has_current_report
             and not self._worker.draining
             and not self.leaving
             and self._lease.can_give
@@ -104,13 +106,21 @@
 
     # The worker.
 
-    def on_report(self, report, now):
-        """Handle a worker's report; one older than the latest is ignored."""
+    def on_report(self, report, now, recalled=False):
+        """Handle a worker's report; one older than the latest is ignored.
+
+        `recalled` says that a former process has stored it. The boot that it names is
+        used at once, but the worker's capacity, labels and draining may have changed
+        since, so that no run starts before the worker's next report.
+        """
         previous = self._worker
+        if recalled and previous is not None:
+            return []
         if previous is not None and report.boot_id == previous.boot_id:
             if report.sequence <= previous.sequence:
                 return []
             self._worker = report
+            is_first, self._has_current_report = not self._has_current_report, True
             if self._departed:
                 self._departed = False
                 self._has_snapshot = False
@@ -123,7 +133,7 @@
                 fields |= {"capacity_mc": report.capacity.cpu}
                 changed = Event(EventName.WORKER_CHANGED, "", fields)
                 return [changed, *self._request_renewals()]
-            return []
+            return self._request_renewals() if is_first else []
         if previous is None and self._runs and self._replaced_boot is not None:
             previous, _ = self._replaced_boot
         older = previous is not None and report.booted_at_ms < previous.booted_at_ms
@@ -131,6 +141,7 @@
             return []
         effects = self._on_boot_replaced(report.id, now)
         self._worker = report
+        self._has_current_report = not recalled
         self._has_snapshot = False
         self._departed = False
         expires_at = self._lease.expires_at if self._runs else 0.0
@@ -142,6 +153,7 @@
             "born_ms": report.booted_at_ms,
             "token": self._lease.fencing_token,
             "open_runs": len(self._runs),
+            "recalled": recalled,
         }
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -47,6 +47,13 @@
     booted_at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class RecalledReport:
+    """A report of the worker that a former process of the agent has stored."""
+
+    report: WorkerReport
+
+
 @dataclass(frozen=True, slots=True)
 class Looked:
     """The worker answered a snapshot request."""
@@ -154,6 +161,9 @@
             Tick: lambda _, now: self._on_tick(now),
             Leave: lambda _, now: runner.leave(),
             WorkerReport: runner.on_report,
+            RecalledReport: lambda event, now: runner.on_report(
+                event.report, now, recalled=True
+            ),
             WorkerDeparted: lambda event, _: runner.on_departed(
                 event.worker_id, event.booted_at_ms
             ),
--- a/ragwortlug/platform/records.py
+++ b/ragwortlug/platform/records.py
@@ -12,6 +12,7 @@
 from ragwortlug.actor import cancel_all
 from ragwortlug.errors import RequestError, StoreError
 from ragwortlug.lease_settings import is_address
+from ragwortlug.leased_actor import RecalledReport
 from ragwortlug.platform import wire
 from ragwortlug.platform.store import NoSuchLeaseError
 from ragwortlug.telemetry.logs import OnceLogger, logger
@@ -146,11 +147,11 @@
                 return
 
     async def _load_boot(self):
-        """Post the boot that an earlier process stored to the runner."""
+        """Post the report that an earlier process stored to the runner."""
         try:
             value = await self._store.value(self._key)
             if value is not None and self._boot_id is None:
-                self._runner.post(None, wire.recalled_of(value))
+                self._runner.post(None, RecalledReport(wire.recalled_of(value)))
         except (StoreError, RequestError, msgspec.DecodeError) as error:
             log.info("Failed to read the worker's record: {}.", error)
 
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -39,6 +39,7 @@
 # More than any process of a play makes.
 MAX_ASSIGNMENTS = 1_000_000
 LOCAL_S = 0.0005
+REPORT_INTERVAL_S = 1.5
 WATCHES = 2
 
 
@@ -69,6 +70,8 @@
 
     def __init__(self, play, name, worker):
         self.worker = worker
+        # What the store has for the next process of this agent.
+        self.stored_report = None
         super().__init__(play, name)
 
     def boot(self):
@@ -82,9 +85,25 @@
         self.play.at(0.0, lambda: self.tick(boot))
         for _ in range(WATCHES):
             self.play.at(0.01, lambda: self.watch(boot))
-        if self.worker.up:
-            report = self.worker.report()
-            self.run(lambda now: self.runner.on_report(report, now))
+        if self.stored_report is None:
+            self.report(boot)
+        else:
+            stored = self.stored_report
+            self.run(lambda now: self.runner.on_report(stored, now, recalled=True))
+            self.play.at(
+                self.play.rng.uniform(0.0, REPORT_INTERVAL_S),
+                lambda: self.report(boot),
+            )
+
+    def report(self, boot):
+        """Get a report of the worker, and store the first one of its boot."""
+        if boot != self.boots or not self.alive or not self.worker.up:
+            return
+        report = self.worker.report()
+        stored = self.stored_report
+        if stored is None or stored.boot_id != report.boot_id:
+            self.stored_report = report
+        self.run(lambda now: self.runner.on_report(report, now))
 
     def tick(self, boot):
         """Let the runner look after time, and ask for renewals."""
--- a/tests/play.py
+++ b/tests/play.py
@@ -378,8 +378,7 @@
         def back():
             worker.up = True
             worker.reset()
-            report = worker.report()
-            agent.run(lambda now: agent.runner.on_report(report, now))
+            agent.report(agent.boots)
 
         self.at(down_s, back)
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -194,8 +194,27 @@
                 1.0 + 0.4 * step,
                 lambda a=agent, r=room, s=report_s: play.resize_worker(a, r, s),
             )
+        self.hand_in_jobs(play)
+        play.run_until(UNTIL_S + REST_S)
+        assert_sound(play)
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_an_agent_that_restarts_starts_nothing_by_a_former_capacity(self, seed):
+        play = Play(seed=seed).build(3, 5)
+        for agent in play.agents:
+            play.at(
+                1.0,
+                lambda a=agent: play.resize_worker(a, Resources(20_000, 131_072, 0), 0),
+            )
+        for step in range(12):
+            agent = play.agents[step % len(play.agents)]
+            play.at(2.0 + 0.5 * step, lambda a=agent: play.kill_agent(a, 0.3))
+        self.hand_in_jobs(play)
+        play.run_until(UNTIL_S + REST_S)
+        assert_sound(play)
+
+    def hand_in_jobs(self, play):
+        """Let callers hand in jobs for ten seconds."""
         for step in range(200):
             kind = play.rng.choice((PREVIEW, STAMP))
             play.at(0.5 + 0.05 * step, lambda k=kind: play.hand_in(k, 4, 0.2))
-        play.run_until(UNTIL_S + REST_S)
-        assert_sound(play)
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -339,6 +339,27 @@
 
     FOREIGN = (ListedRun((RUN.job_id, 0, 0), 1, 0.4),)
 
+    def test_nothing_starts_by_a_report_that_the_former_process_stored(self):
+        agent = LeasedRunner(RestartSettings(lease_ms=900))
+        agent.on_report(REPORT, 10.0, recalled=True)
+        look(agent, WorkerSnapshot(5000, 1, (), ()), 10.0)
+        look(agent, WorkerSnapshot(5000, 1, (), ()), 10.0)
+        agent.on_renewed(SENDER, Renewed(10_000), 10.0)
+        ends = refusal(agent.on_start_runs(SENDER, StartRuns(10_000, (RUN,)), 10.0))
+        assert ends.ends == ((1, RunEnd.NO_RESOURCES, 0.0),)
+        shrunken = Resources(1000, 64, 0)
+        later = dataclasses.replace(REPORT, sequence=9, capacity=shrunken)
+        effects = agent.on_report(later, 10.1)
+        assert RequestRenewals() in effects
+        assert agent.accepting
+        assert agent.free_resources == shrunken
+
+    def test_a_stored_report_does_not_replace_one_of_the_worker(self):
+        agent = runner()
+        older = dataclasses.replace(REPORT, booted_at_ms=REPORT.booted_at_ms + 9)
+        assert agent.on_report(older, 10.1, recalled=True) == []
+        assert agent.accepting
+
     def test_runs_of_the_former_process_get_no_lease(self):
         agent = LeasedRunner(RestartSettings(lease_ms=900))
         agent.on_report(REPORT, 10.0)
