Send messages between entries by way of agents while they are cut off

Cause: an entry took another one's silence for the absence of its jobs, though silence only proves that the direct way is broken.

Change: while an entry hasn't heard another one for 0.35 s, or is told that it is not heard, its messages to that one go also to two agents of each data centre, which pass them on if the receiver has a permission there. What entries decide by them is unchanged.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -17,6 +17,7 @@
     Offer,
     OpenJobs,
     Progress,
+    Relayed,
     Renewal,
     RequestAttached,
     RunsEnded,
@@ -78,12 +79,13 @@
             Offer: dispatcher.on_offer,
             Progress: dispatcher.on_progress,
             WorkerCrashed: dispatcher.on_worker_crashed,
-            OpenJobs: dispatcher.shared_jobs.on_open_jobs,
+            OpenJobs: dispatcher.shared_jobs.on_direct_open_jobs,
             AttachRequest: dispatcher.shared_jobs.on_attach_request,
             RequestAttached: dispatcher.shared_jobs.on_request_attached,
             AttachedRequestEnded: dispatcher.shared_jobs.on_attached_request_ended,
             DetachRequest: dispatcher.on_detach_request,
             CancelJob: dispatcher.on_cancel_job,
+            Relayed: self._on_relayed,
         }
         for message_type, decide in decisions.items():
             self._register_decision(message_type, decide)
@@ -227,11 +229,24 @@
             fields["tasks_per_s"] = round(limit)
             self._journal.write_event(EventName.OVERLOADED, **fields)
 
+    def _on_relayed(self, sender, message, now):
+        """Pass on a message by way of an agent, unless it is for another process."""
+        if not message.is_for(self._peers.own_peer):
+            return []
+        return self._dispatcher.on_relayed(sender, message, now)
+
+    def _send(self, message):
+        """Send a message, by way of agents too if its receiver may not get it."""
+        self._peers.send(message.receiver, message.body)
+        own_peer, now = self._peers.own_peer, self._timer.monotonic()
+        for relay in self._dispatcher.relays(message, own_peer, now):
+            self._peers.send(relay.receiver, relay.body)
+
     def _perform(self, effects):
         """Send messages, write events and answer requests."""
         for effect in effects:
             if isinstance(effect, Send):
-                self._peers.send(effect.receiver, effect.body)
+                self._send(effect)
             elif isinstance(effect, Event):
                 self._metrics.count("events", effect.name.value)
                 self._record_durations(effect)
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -72,6 +72,14 @@
     RELIEVED = "relieved", "An entry accepts all requests again."
     ENTRY_HEARD = "entry_heard", "An entry receives messages from another entry."
     ENTRY_SILENT = "entry_silent", "An entry timed out another entry."
+    ENTRY_RELAYED = (
+        "entry_relayed",
+        "An entry sends messages to another one by way of agents too.",
+    )
+    ENTRY_NOT_RELAYED = (
+        "entry_not_relayed",
+        "An entry reaches another one directly again, or takes it to have stopped.",
+    )
     ISOLATED = (
         "isolated",
         "An entry lost contact with all others and gives up its jobs.",
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -189,6 +189,13 @@
     return [Event(EventName.ISOLATED if current else EventName.REJOINED)]
 
 
+def relaying_changed(begun, ended):
+    """Return the events of entries that are, or no longer, reached through agents."""
+    names = dict.fromkeys(sorted(begun), EventName.ENTRY_RELAYED)
+    names |= dict.fromkeys(sorted(ended), EventName.ENTRY_NOT_RELAYED)
+    return [Event(name, "", {"entry": address}) for address, name in names.items()]
+
+
 def worker_ejected(record, worker, end):
     """Return the event of a worker that is ejected: it gets no runs for a time."""
     fields = {"agent": worker.peer.address, "end": end.value}
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -24,7 +24,17 @@
 from ragwortlug.jobs.run_feedback import RunFeedback
 from ragwortlug.jobs.shared_jobs import SharedJobs
 from ragwortlug.jobs.waiting_jobs import WaitingJobs
-from ragwortlug.lease_messages import Renewed, StopRuns
+from ragwortlug.lease_messages import (
+    AttachedRequestEnded,
+    AttachRequest,
+    CancelJob,
+    DetachRequest,
+    OpenJobs,
+    Relayed,
+    Renewed,
+    RequestAttached,
+    StopRuns,
+)
 from ragwortlug.policy.backlog import LateWork
 from ragwortlug.policy.crash_history import CrashHistory
 from ragwortlug.policy.estimate_checks import EstimateChecks
@@ -34,6 +44,8 @@
 from ragwortlug.restartable_model import Orders, RunEnd
 
 MS_PER_S = 1000.0
+# Agents of each data centre by way of which a message to a silent entry is sent.
+RELAYS_PER_DATA_CENTRE = 2
 
 
 class Dispatcher:
@@ -81,6 +93,14 @@
             self.submit,
         )
         self._entries = ()
+        self._relayed_decisions = {
+            OpenJobs: self._shared_jobs.on_open_jobs,
+            AttachRequest: self._shared_jobs.on_attach_request,
+            RequestAttached: self._shared_jobs.on_request_attached,
+            AttachedRequestEnded: self._shared_jobs.on_attached_request_ended,
+            DetachRequest: self.on_detach_request,
+            CancelJob: self.on_cancel_job,
+        }
 
     @property
     def open_jobs(self):
@@ -293,6 +313,24 @@
 
     # Messages of other entries.
 
+    def on_relayed(self, _sender, message, now):
+        """Handle a message that another entry has sent by way of an agent."""
+        decide = self._relayed_decisions[type(message.body)]
+        return decide(message.origin, message.body, now)
+
+    def relays(self, message, own_peer, now):
+        """Return the copies of a `Send` that go by way of agents, a list of `Send`.
+
+        There are some only if the receiver is an entry that can't be reached directly.
+        """
+        if type(message.body) not in self._relayed_decisions:
+            return []
+        if not self._shared_jobs.needs_relay(message.receiver.address, now):
+            return []
+        relayed = Relayed(own_peer, message.receiver, message.body)
+        agents = self._workers.sample_agents(RELAYS_PER_DATA_CENTRE, now)
+        return [Send(agent, relayed) for agent in agents]
+
     def on_detach_request(self, sender, message, now):
         """Withdraw an attached request."""
         return self.cancel(message.request_id, message.job_id, now)
--- a/ragwortlug/jobs/job_owners.py
+++ b/ragwortlug/jobs/job_owners.py
@@ -86,6 +86,11 @@
         """Return after which silence no run of another entry's jobs can exist."""
         return self._silence_s
 
+    @property
+    def other_addresses(self):
+        """Return the addresses of the other entries, a tuple."""
+        return self._other_addresses
+
     @property
     def knows_others(self):
         """Return whether another entry has been in contact."""
@@ -153,7 +158,7 @@
             job_ids = known.job_ids - {job_id}
             self._announcements[owner] = dataclasses.replace(known, job_ids=job_ids)
 
-    def announce(self, records, stopping, now):
+    def announce(self, records, stopping, silent, now):
         """Return the `Send` effects of the announcements that are due.
 
         Parameters
@@ -162,15 +167,17 @@
             The open jobs: job id to `RestartableRecord`.
         stopping : set of str
             Ids of jobs that are no longer open, with runs that have not ended.
+        silent : tuple of str
+            The addresses of the entries that are not heard directly.
         """
         if now - self._sent_at < ANNOUNCEMENT_INTERVAL_S:
             return []
         self._sent_at = now
         self._forget_silent(now)
-        message = self.announcement(records, stopping, now)
+        message = self.announcement(records, stopping, silent, now)
         return [Send(Peer(address), message) for address in self._other_addresses]
 
-    def announcement(self, records, stopping, now, disputed=(), newcomer=None):
+    def announcement(self, records, stopping, silent, now, disputed=(), newcomer=None):
         """Return the message with all jobs that callers may submit elsewhere.
 
         `disputed` are the ids of younger jobs to include. A `newcomer` also gets
@@ -184,7 +191,7 @@
         relayed = () if newcomer is None else self._relayed(newcomer, now)
         self._next_number += 1
         stopping_jobs = tuple(sorted(stopping - records.keys()))
-        return OpenJobs(self._next_number, jobs, stopping_jobs, relayed)
+        return OpenJobs(self._next_number, jobs, stopping_jobs, relayed, silent)
 
     def _relayed(self, newcomer, now):
         """Return what a new process must know of the others, a tuple."""
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -522,6 +522,14 @@
             )
         return effects
 
+    def on_relayed(self, sender, message, now):
+        """Pass an entry's message on to another one that has a permission here."""
+        address = message.receiver.address
+        in_contact = {peer.address for peer in self._permissions.peers}
+        if sender != message.origin or address not in in_contact:
+            return []
+        return [Send(message.receiver, message)]
+
     def on_wants(self, sender, message, now):
         """Record the resources that a dispatcher's best waiting task needs."""
         self._permissions.set_waiting_task(sender, message.rank, message.resources)
--- a/ragwortlug/jobs/shared_jobs.py
+++ b/ragwortlug/jobs/shared_jobs.py
@@ -9,6 +9,7 @@
 from ragwortlug.codes import Code
 from ragwortlug.envelope import Send
 from ragwortlug.jobs import dispatch_events as events
+from ragwortlug.jobs.entry_routes import EntryRoutes
 from ragwortlug.jobs.isolation import Isolation
 from ragwortlug.jobs.job_owners import JobOwners
 from ragwortlug.jobs.remote_requests import RemoteRequest, RemoteRequests
@@ -41,6 +42,7 @@
         self._finish_job = finish_job
         self._submit = submit
         self._owners = JobOwners(settings)
+        self._routes = EntryRoutes()
         self._remote_requests = RemoteRequests()
         # The processes whose requests are attached to jobs here, by request id.
         self._attached_from = {}
@@ -63,6 +65,10 @@
         self._own_address = own_address
         self._owners.set_entries(addresses, own_address)
 
+    def needs_relay(self, address, now):
+        """Return whether messages to an entry must also go by way of agents."""
+        return self._routes.needs_relay(address, now)
+
     def is_owned_elsewhere(self, job_id, now):
         """Return whether another entry may have runs of a job."""
         return self._owners.owner_of(job_id, now) is not None
@@ -111,6 +117,11 @@
 
     # Messages of other entries.
 
+    def on_direct_open_jobs(self, sender, message, now):
+        """Handle an announcement that has not come by way of an agent."""
+        self._routes.on_direct_contact(sender.address, now)
+        return self.on_open_jobs(sender, message, now)
+
     def on_open_jobs(self, sender, message, now):
         """Record the jobs of another entry; resolve those that are open here too.
 
@@ -118,6 +129,8 @@
         """
         if self._owners.is_outdated(sender, message):
             return []
+        is_silent = self._own_address in message.silent
+        self._routes.on_silent_entries(sender.address, is_silent, now)
         is_back = self._owners.on_open_jobs(sender, message, now)
         self._remote_requests.on_contact(sender, now)
         effects = []
@@ -135,8 +148,9 @@
         if is_back or disputed:
             newcomer = sender if is_back else None
             stopping = self._stopping_job_ids()
+            silent = self._routes.silent(now)
             answer = self._owners.announcement(
-                self._records, stopping, now, disputed, newcomer
+                self._records, stopping, silent, now, disputed, newcomer
             )
             effects.append(Send(sender, answer))
         return effects
@@ -180,7 +194,9 @@
 
         `hears_agent` says whether any agent has been in contact recently.
         """
-        effects = self._update_isolation(hears_agent, now)
+        self._routes.set_entries(self._owners.other_addresses, now)
+        effects = events.relaying_changed(*self._routes.update(now))
+        effects += self._update_isolation(hears_agent, now)
         for request in self._remote_requests.pop_expired(now):
             code = Code.LEASE_ENDED
             answer = RequestAnswer(request.request_id, request.job.id, code)
@@ -189,7 +205,8 @@
             effects += self._reclaim(request, now)
         effects += self._remote_requests.repeat(now)
         stopping = self._stopping_job_ids()
-        return effects + self._owners.announce(self._records, stopping, now)
+        silent = self._routes.silent(now)
+        return effects + self._owners.announce(self._records, stopping, silent, now)
 
     def _update_isolation(self, hears_agent, now):
         """Give up all jobs if other entries may start them."""
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -132,13 +132,15 @@
     Also sent without jobs, as a sign of life. `number` counts the sender's
     announcements, so that one that arrives late is not taken for new. `stopping` are
     jobs that are no longer open, of which runs have not ended. `relayed` tells a new
-    receiver of the jobs of others, which may have stopped since.
+    receiver of the jobs of others, which may have stopped since. `silent` are the
+    addresses of entries whose announcements don't reach the sender directly.
     """
 
     number: int
     jobs: tuple[tuple[str, int], ...] = ()
     stopping: tuple[str, ...] = ()
     relayed: tuple[RelayedJobs, ...] = ()
+    silent: tuple[str, ...] = ()
 
 
 class AttachRequest(Message):
@@ -183,6 +185,25 @@
     job_id: str
 
 
+class Relayed(Message):
+    """Carries a message of one entry to another by way of an agent."""
+
+    origin: Peer
+    receiver: Peer
+    body: (
+        OpenJobs
+        | AttachRequest
+        | RequestAttached
+        | AttachedRequestEnded
+        | DetachRequest
+        | CancelJob
+    )
+
+    def is_for(self, peer):
+        """Return whether a process is the receiver."""
+        return self.receiver in (peer, Peer(peer.address))
+
+
 CODEC = Codec(
     Renewal
     | Renewed
@@ -200,5 +221,6 @@
     | AttachedRequestEnded
     | DetachRequest
     | CancelJob
+    | Relayed
     | Rejected
 )
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -23,7 +23,7 @@
     WorkerReport,
     WorkerSnapshot,
 )
-from ragwortlug.lease_messages import Renewed, StartRuns, StopRuns, Wants
+from ragwortlug.lease_messages import Relayed, Renewed, StartRuns, StopRuns, Wants
 from ragwortlug.lease_settings import is_address
 
 TICK_S = 0.05
@@ -154,6 +154,7 @@
             StartRuns: runner.on_start_runs,
             StopRuns: runner.on_stop_runs,
             Wants: runner.on_wants,
+            Relayed: runner.on_relayed,
         }
         for message_type, decide in decisions.items():
             self._register_decision(message_type, decide)
--- a/ragwortlug/policy/known_workers.py
+++ b/ragwortlug/policy/known_workers.py
@@ -283,6 +283,19 @@
             and self._is_recently_contacted(worker, now)
         ]
 
+    def sample_agents(self, count, now):
+        """Return up to `count` random agents in contact of each data centre, a list."""
+        by_data_centre = {}
+        for worker in self._workers.values():
+            if worker.state is not None and self._is_recently_contacted(worker, now):
+                peers = by_data_centre.setdefault(worker.state.data_centre, [])
+                peers.append(worker.peer)
+        return [
+            peer
+            for peers in by_data_centre.values()
+            for peer in self._rng.sample(peers, min(count, len(peers)))
+        ]
+
     def least_recently_notified(self, service, count, now):
         """Return the `count` serving workers that were notified the longest ago."""
         serving = self.serving(service, now)
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -24,6 +24,7 @@
     Offer,
     OpenJobs,
     Progress,
+    Relayed,
     Renewal,
     Renewed,
     RequestAttached,
@@ -278,6 +279,7 @@
             StartRuns: self.runner.on_start_runs,
             StopRuns: self.runner.on_stop_runs,
             Wants: self.runner.on_wants,
+            Relayed: self.runner.on_relayed,
         }
         decide = decisions[type(message)]
         self.run(lambda now: decide(sender, message, now))
@@ -302,12 +304,24 @@
         """Carry out effects."""
         for effect in effects:
             if isinstance(effect, Send):
-                self.play.send(self, effect.receiver, effect.body)
+                self.send(effect)
             elif isinstance(effect, RequestAnswer):
                 self.play.answered(effect)
             else:
                 assert isinstance(effect, Event)
 
+    def send(self, message):
+        """Send a message, by way of agents too if need be."""
+        relays = self.dispatcher.relays(message, self.peer, self.play.now)
+        for each in (message, *relays):
+            self.play.send(self, each.receiver, each.body)
+
+    def on_relayed(self, sender, message, now):
+        """Take a message that came by way of an agent."""
+        if not message.is_for(self.peer):
+            return []
+        return self.dispatcher.on_relayed(sender, message, now)
+
     def tick(self, boot):
         """Let the dispatcher look after time."""
         if boot == self.boots and self.alive:
@@ -325,12 +339,13 @@
             Offer: self.dispatcher.on_offer,
             Progress: self.dispatcher.on_progress,
             WorkerCrashed: self.dispatcher.on_worker_crashed,
-            OpenJobs: self.dispatcher.shared_jobs.on_open_jobs,
+            OpenJobs: self.dispatcher.shared_jobs.on_direct_open_jobs,
             AttachRequest: self.dispatcher.shared_jobs.on_attach_request,
             RequestAttached: self.dispatcher.shared_jobs.on_request_attached,
             AttachedRequestEnded: self.dispatcher.shared_jobs.on_attached_request_ended,
             DetachRequest: self.dispatcher.on_detach_request,
             CancelJob: self.dispatcher.on_cancel_job,
+            Relayed: self.on_relayed,
         }
         decide = decisions[type(message)]
         self.run(lambda now: decide(sender, message, now))
--- a/tests/play.py
+++ b/tests/play.py
@@ -47,6 +47,9 @@
         Returns whether a message is lost; called with its body.
     travel_s : float
         Longest time that a command is on its way to a worker, beside the usual.
+    is_cut : callable
+        Returns whether messages are lost from a sender to a receiver, now; called with
+        their names and the time.
     """
 
     lose: float = 0.0
@@ -55,6 +58,7 @@
     fail: float = 0.0
     loses_message: Callable[[object], bool] = lambda body: False
     travel_s: float = 0.0
+    is_cut: Callable[[str, str, float], bool] = lambda sender, receiver, now: False
 
 
 @dataclass
@@ -162,6 +166,8 @@
             return
         if self.faults.loses_message(body):
             return
+        if self.faults.is_cut(sender.name, to.address, self.now):
+            return
         delay_s = 0.0014 if self.rng.random() < 0.7 else 0.0002
         peer = sender.peer
         self.at(delay_s, lambda: self._arrive(peer, to, body))
