--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -17,6 +17,7 @@
 from ragwortlug.events import Event, EventName
 from ragwortlug.invariants import Invariant, check
 from ragwortlug.jobs import dispatch_events as events
+from ragwortlug.jobs.job_refusals import JobRefusals
 from ragwortlug.jobs.request_answer import RequestAnswer, default_retry_after_s
 from ragwortlug.jobs.restartable import RestartableRecord
 from ragwortlug.jobs.risky_jobs import RiskyJobs
@@ -37,10 +38,8 @@
 )
 from ragwortlug.policy.backlog import LateWork
 from ragwortlug.policy.crash_history import CrashHistory
-from ragwortlug.policy.estimate_checks import EstimateChecks
-from ragwortlug.policy.job_ranking import misses_deadline, objective_ms
+from ragwortlug.policy.job_ranking import objective_ms
 from ragwortlug.policy.known_workers import KnownWorkers
-from ragwortlug.policy.run_time_estimator import size_class
 from ragwortlug.restartable_model import Orders, RunEnd
 
 MS_PER_S = 1000.0
@@ -71,7 +70,7 @@
         self._workers = KnownWorkers(settings, rng)
         self._feedback = RunFeedback(self._workers)
         self._late_work = {}
-        self._estimate_checks = EstimateChecks()
+        self._refusals = JobRefusals(settings, self._workers)
         self._crashes = CrashHistory()
         self._risky_jobs = RiskyJobs(
             self._workers, self._crashes, self._outstanding, self._service_of
@@ -189,7 +188,7 @@
         record = RestartableRecord(job, queue, arrived, deadline, 0.0, estimates)
         critical_path_ms = record.remaining_path_ms(now)
         record.objective_at = now + objective_ms(queue, critical_path_ms) / MS_PER_S
-        code = self._refusal_code(record, now)
+        code = self._refusals.refusal_code(record, len(self._records), now)
         if code is not None:
             fields = self._job_fields(record, critical_path_ms, now)
             return self.refuse(request_id, job.id, code, fields)
@@ -221,7 +220,7 @@
         if record.requests:
             return []
         abandoned = events.job_abandoned(record, now)
-        self._end_estimate_check(record, None, now)
+        self._refusals.on_job_ended(record, None, now)
         self._assigner.request()
         return [abandoned, *self._drop(record), *self._dispatch(now)]
 
@@ -372,7 +371,7 @@
         """Finish jobs past their deadline and remove agents that are silent."""
         self._crashes.expire(now)
         self._feedback.expire(now)
-        self._estimate_checks.expire(now)
+        self._refusals.expire(now)
         effects = self._risky_jobs.queue_events(now)
         for worker in self._workers.remove_expired(now):
             effects.append(events.worker_lost(worker, now))
@@ -403,23 +402,6 @@
                 effects += self._finish_job(record, Code.JOB_FAILED, now)
         return effects
 
-    def _refusal_code(self, record, now):
-        """Return the code with which a new job is refused, or None."""
-        if len(self._records) >= self._settings.queue_jobs:
-            return Code.QUEUE_FULL
-        service = record.queue.service
-        fitting = all(
-            self._workers.can_ever_fit(service, step.resources, step.label)
-            for step in record.job.steps
-        )
-        if not fitting:
-            return Code.NO_WORKER_HERE
-        if self._misses_deadline(record, now):
-            if not self._estimate_checks.admit(_estimate_kind(record), now):
-                return Code.DEADLINE_UNREACHABLE
-            record.check_estimate()
-        return None
-
     def _job_fields(self, record, critical_path_ms, now):
         """Return the event fields that explain whether a job is accepted."""
         workers = len(self._workers.serving(record.queue.service, now))
@@ -434,25 +416,6 @@
         services = (queue.service for queue in queues if queue.name == queue_name)
         return next(services, None)
 
-    def _misses_deadline(self, record, now):
-        """Return whether a job would miss its deadline even on the fastest worker."""
-        serving = self._workers.serving(record.queue.service, now)
-        slowdown = min((worker.slowdown for worker in serving), default=1.0)
-        path_ms = record.least_path_ms(now) * slowdown
-        return misses_deadline(path_ms, record.deadline, now)
-
-    def _end_estimate_check(self, record, code, now):
-        """Report how a job ended that checked its estimate.
-
-        `code` is that of the job's answer; None if no caller waits for one.
-        """
-        if not record.checks_estimate:
-            return
-        in_time = None
-        if code in (Code.OK, Code.LEASE_ENDED, Code.DEADLINE_PASSED):
-            in_time = code is Code.OK
-        self._estimate_checks.on_ended(_estimate_kind(record), in_time, now)
-
     def _check_deadline(self, record, now):
         """Finish a job that can no longer end before its deadline."""
         if now >= record.deadline:
@@ -460,7 +423,7 @@
             return self._finish_job(record, code, now)
         if record.begun:
             return []
-        if self._misses_deadline(record, now):
+        if self._refusals.misses_deadline(record, now):
             return self._finish_job(record, Code.DEADLINE_UNREACHABLE, now)
         return []
 
@@ -520,7 +483,7 @@
             )
         if retry_after_s is None:
             retry_after_s = default_retry_after_s(code)
-        self._end_estimate_check(record, code, now)
+        self._refusals.on_job_ended(record, code, now)
         answers = [
             self._shared_jobs.answer(request_id, record.job.id, code, retry_after_s)
             for request_id in record.requests
@@ -580,9 +543,3 @@
             return False
         record, _ = assignment
         return self._records.get(record.job.id) is record
-
-
-def _estimate_kind(record):
-    """Return the queue and the size class that jobs with similar estimates share."""
-    declared_ms = max(step.estimate_ms for step in record.job.steps)
-    return record.queue.name, size_class(declared_ms)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -64,6 +64,23 @@
         play.run_until(55.0)
         assert served_share(short, 10.0 + RECOVERY_S) >= MIN_SERVED
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_one_restarted_entry_serves_short_jobs_after_long_ones(self, seed):
+        play = Play(seed).build(workers=6, speeds=(1.0,))
+        play.run_until(1.0)
+        submit_every(play, 0.5, 5.0, SHORT_S, SHORT_LIMIT_S, 120)
+        play.run_until(5.0)
+        restarted = play.homes[0]
+        play.kill_entry(restarted, 0.5)
+        play.run_until(5.6)
+        job_id = f"{len(play.callers):016x}"
+        play.submit_job(0, job_id, [LONG_S], 3600, RESOURCES, LONG_LIMIT_S, restarted)
+        play.run_until(10.0)
+        short = submit_every(play, 0.5, 50.0, SHORT_S, SHORT_LIMIT_S, 120)
+        play.run_until(55.0)
+        own = [caller for caller in short if caller.entry is restarted]
+        assert served_share(own, 10.0 + RECOVERY_S) >= MIN_SERVED
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_short_tasks_are_served_beside_long_ones_of_the_queue(self, seed):
         play = Play(seed).build(workers=6, speeds=(1.0,))
