Soak: except work that outlasts the grace period from "cut by a planned stop"

Trace of both: SIGTERM of entry-2 at 0; the request, whose two tasks take 4.3 s, is sent 1.88 s and 1.82 s after it; SIGKILL at 6.01 s; the tasks end 0.17 s and 0.13 s later.

TestPlannedStops shows that each of the three alone still counts as broken.

--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -13,6 +13,10 @@
 EVACUATE_S = 5.0
 CONFIGURED_S = 2.0
 LOSS_SLACK_S = 0.2
+# A process is killed this long after SIGTERM. A cut request does not count if a worker
+# was at work on it in the last sixth of that time, and it was sent early enough.
+GRACE_S = 6.0
+SENT_AFTER_TERM_S = 3.0
 # Crashes of workers under a task after which its job may be given up.
 GIVEN_UP_CRASHES = 3
 NOT_TAKEN = frozenset({400, 404, 413, 429, 503})
@@ -239,9 +243,24 @@
             mine = entry == attempt.entry and asked_at < attempt.ended_at
             places = (entry, callers_of(entry))
             calm = self.calm(places, asked_at - CONTACT_S, attempt.ended_at)
-            if mine and attempt.ended_at - asked_at < 7.0 and calm:
+            if not (mine and attempt.ended_at - asked_at < 7.0 and calm):
+                continue
+            if not self._outlasts_grace(job, attempt, asked_at):
                 self.break_promise("cut by a planned stop", job=job.id, entry=entry)
 
+    def _outlasts_grace(self, job, attempt, asked_at):
+        """Return whether a request's work was not done when its entry was killed."""
+        is_at_work = any(
+            task.partition(".")[0] == job.id
+            for worker in self.workers.values()
+            for task, _ in worker.running
+        )
+        return (
+            is_at_work
+            and attempt.sent_at <= asked_at + SENT_AFTER_TERM_S
+            and attempt.ended_at >= asked_at + GRACE_S * 5 / 6
+        )
+
     def check_route(self, entry, status, wanted, ordered_at):
         """Check how an entry treats a route that operators added or dropped."""
         now = self._now()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import sys
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
@@ -13,6 +14,7 @@
 from tests.faults.callers import Callers
 from tests.faults.programs import Program
 from tests.faults.site import APP, Site
+from tests.faults.witness import Attempt, Job, Witness
 
 # How long a worker's server waits for its calls when it stops.
 SHUTDOWN_S = 5.0
@@ -40,6 +42,35 @@
         assert seen["answers"]["200"] > 12
 
 
+class TestPlannedStops:
+    """Requests that an entry cuts after it was asked to stop, at second 10."""
+
+    @pytest.mark.parametrize(
+        ("sent_at", "ended_at", "at_work", "counts"),
+        [
+            (11.8, 16.0, True, False),
+            (11.8, 16.0, False, True),
+            (13.1, 16.0, True, True),
+            (11.8, 14.9, True, True),
+        ],
+    )
+    def test_only_work_that_outlasts_the_grace_period_may_be_cut(
+        self, sent_at, ended_at, at_work, counts, tmp_path
+    ):
+        async def cut():
+            links = SimpleNamespace(take_refusal=lambda *_: False)
+            witness = Witness(3, links, tmp_path / "witness.log")
+            running = {("job.0.0.0", 1): None} if at_work else {}
+            witness.workers["worker"] = SimpleNamespace(running=running)
+            attempt = Attempt("entry-0", sent_at, 8.0, ended_at=ended_at)
+            job = Job("job", "4.300", 1, 100, 8.0)
+            witness.answered(job, attempt, [("entry-0", 10.0)])
+            witness.close()
+            return witness.broken
+
+        assert bool(asyncio.run(cut())) == counts
+
+
 class IdleProgram(Program):
     """A process that takes the signals of the soak and does nothing."""
 
