--- a/ragwortlug/jobs/job_owners.py
+++ b/ragwortlug/jobs/job_owners.py
@@ -168,7 +168,7 @@
         stopping : set of str
             Ids of jobs that are no longer open, with runs that have not ended.
         silent : tuple of str
-            The addresses of the entries that are not heard directly.
+            The addresses of the entries whose messages do not arrive directly.
         """
         if now - self._sent_at < ANNOUNCEMENT_INTERVAL_S:
             return []
--- a/ragwortlug/jobs/shared_jobs.py
+++ b/ragwortlug/jobs/shared_jobs.py
@@ -130,7 +130,7 @@
         if self._owners.is_outdated(sender, message):
             return []
         is_silent = self._own_address in message.silent
-        self._routes.on_silent_entries(sender.address, is_silent, now)
+        self._routes.on_silence_reported(sender.address, is_silent, now)
         is_back = self._owners.on_open_jobs(sender, message, now)
         self._remote_requests.on_contact(sender, now)
         effects = []
--- a/tests/test_entry_routes.py
+++ b/tests/test_entry_routes.py
@@ -97,9 +97,9 @@
     def test_an_entry_that_does_not_hear_this_one_needs_a_relay(self):
         routes = self.routes()
         routes.on_direct_contact(OTHER.address, 12.0)
-        routes.on_silent_entries(OTHER.address, True, 12.0)
+        routes.on_silence_reported(OTHER.address, True, 12.0)
         assert routes.needs_relay(OTHER.address, 12.1)
-        routes.on_silent_entries(OTHER.address, False, 12.2)
+        routes.on_silence_reported(OTHER.address, False, 12.2)
         assert not routes.needs_relay(OTHER.address, 12.3)
 
     def test_entries_that_are_gone_are_forgotten(self):
