--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -123,7 +123,7 @@
         self._gossip.changes.subscribe(lambda orders: self.post(None, orders))
         self._timer.every(TICK_S, lambda: self.post(None, Tick()))
 
-    async def run(self, job, queue, limit_s):
+    async def run(self, job, queue, limit_s, unread_s):
         """Run a job and return its `RequestAnswer`.
 
         If the awaiting task is cancelled, the request is withdrawn.
@@ -135,15 +135,19 @@
         queue : Queue
             The queue that the request was routed to.
         limit_s : float
-            Seconds from now until the job's deadline.
+            Seconds from the arrival of the request until the job's deadline.
+        unread_s : float
+            Seconds since the arrival of the request.
         """
         request_id = uuid.uuid4().hex
         future = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = future
         started_at = self._timer.monotonic()
         if self._admit(job):
-            deadline = started_at + limit_s
-            self.post(None, SubmitWork(request_id, job, queue, started_at, deadline))
+            arrived = started_at - unread_s
+            deadline = arrived + limit_s
+            submission = SubmitWork(request_id, job, queue, arrived, deadline)
+            self.post(None, submission)
         else:
             code = Code.ENTRY_OVERLOADED
             self._perform(self._dispatcher.refuse(request_id, job.id, code))
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -30,6 +30,7 @@
         "least_ms": round(record.least_path_ms(now)),
         "checks_estimate": record.checks_estimate,
         "limit_ms": whole_ms(record.deadline - now),
+        "age_ms": whole_ms(now - record.arrived),
         "jobs": jobs,
         "workers": workers,
         "version": version,
--- a/ragwortlug/platform/callers.py
+++ b/ragwortlug/platform/callers.py
@@ -8,6 +8,7 @@
 from ragwortlug.codes import Code
 from ragwortlug.errors import RagwortlugError, RequestError
 from ragwortlug.events import EventName
+from ragwortlug.io.connections import unread_s
 from ragwortlug.io.http import error_body, json_response
 from ragwortlug.platform import wire
 
@@ -91,7 +92,9 @@
         job = wire.job_of(job_id, raw)
         if self.closed:
             return self._refusal(Code.ENTRY_LEAVING, RETRY_AFTER_S)
-        answer = await self._dispatcher.run(job, queue, _timeout_s(request, queue))
+        limit_s = _timeout_s(request, queue)
+        unread = unread_s(request.transport)
+        answer = await self._dispatcher.run(job, queue, limit_s, unread)
         state = _STATE_BY_CODE.get(answer.code)
         if state is None:
             return self._refusal(answer.code, answer.retry_after_s)
