Start nothing for a request whose caller has left

A caller whose connection had ended asked elsewhere; the entry read the caller's first request from its socket afterwards, took it for a new job, ordered its runs, and read the end of the connection one turn of the event loop later.

The state of the connection is asked of the kernel directly before the job is passed to the dispatcher (poll with POLLRDHUP), so that a reset or an end that has arrived by then is seen whatever the event loop has read. Such a request starts nothing, counts for no load shedding, and is logged as caller_left. It gets 300, "outcome unknown", should anybody read it: an earlier attempt of its caller may run elsewhere.

test_an_unread_request_of_a_caller_that_has_left_starts_no_run fails on the code before for both kinds of end: two runs start.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ragwortlug.actor import PeerActor, Tick
@@ -38,13 +39,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitWork:
-    """A request to run a job, with its arrival and deadline in monotonic seconds."""
+    """A request to run a job, with its arrival and deadline in monotonic seconds.
+
+    `has_left` returns whether its caller has closed the connection.
+    """
 
     request_id: str
     job: RestartableJob
     queue: Queue
     arrived: float
     deadline: float
+    has_left: Callable[[], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,10 +128,11 @@
         self._gossip.changes.subscribe(lambda orders: self.post(None, orders))
         self._timer.every(TICK_S, lambda: self.post(None, Tick()))
 
-    async def run(self, job, queue, limit_s, unread_s):
+    async def run(self, job, queue, limit_s, unread_s, has_left):
         """Run a job and return its `RequestAnswer`.
 
-        If the awaiting task is cancelled, the request is withdrawn.
+        If the awaiting task is cancelled, the request is withdrawn. Nothing is started
+        for a request whose caller has left by then.
 
         Parameters
         ----------
@@ -138,15 +144,19 @@
             Seconds from the arrival of the request until the job's deadline.
         unread_s : float
             Seconds since the arrival of the request.
+        has_left : callable
+            Returns whether the caller has closed its connection.
         """
         request_id = uuid.uuid4().hex
         future = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = future
         started_at = self._timer.monotonic()
-        if self._admit(job):
+        if has_left():
+            self._drop(request_id, job.id)
+        elif self._admit(job):
             arrived = started_at - unread_s
             deadline = arrived + limit_s
-            submission = SubmitWork(request_id, job, queue, arrived, deadline)
+            submission = SubmitWork(request_id, job, queue, arrived, deadline, has_left)
             self.post(None, submission)
         else:
             code = Code.ENTRY_OVERLOADED
@@ -177,6 +187,11 @@
             return True
         return self._load_shedder.admit(sum(step.count for step in job.steps))
 
+    def _drop(self, request_id, job_id):
+        """Start nothing for a request whose caller has left."""
+        left = Event(EventName.CALLER_LEFT, job_id)
+        self._perform([left, RequestAnswer(request_id, job_id, Code.OUTCOME_UNKNOWN)])
+
     def _since(self, started_at):
         """Return the seconds since a monotonic time."""
         return self._timer.monotonic() - started_at
@@ -185,6 +200,9 @@
         """Pass a submission to the dispatcher, unless its caller has left."""
         if event.request_id not in self._waiting:
             return
+        if event.has_left():
+            self._drop(event.request_id, event.job.id)
+            return
         now = self._timer.monotonic()
         self._perform(
             self._dispatcher.submit(
--- a/ragwortlug/platform/callers.py
+++ b/ragwortlug/platform/callers.py
@@ -8,7 +8,7 @@
 from ragwortlug.codes import Code
 from ragwortlug.errors import RagwortlugError, RequestError
 from ragwortlug.events import EventName
-from ragwortlug.io.connections import unread_s
+from ragwortlug.io.connections import is_closed_by_peer, unread_s
 from ragwortlug.io.http import error_body, json_response
 from ragwortlug.platform import wire
 
@@ -92,9 +92,14 @@
         job = wire.job_of(job_id, raw)
         if self.closed:
             return self._refusal(Code.ENTRY_LEAVING, RETRY_AFTER_S)
-        limit_s = _timeout_s(request, queue)
-        unread = unread_s(request.transport)
-        answer = await self._dispatcher.run(job, queue, limit_s, unread)
+        transport = request.transport
+        answer = await self._dispatcher.run(
+            job,
+            queue,
+            _timeout_s(request, queue),
+            unread_s(transport),
+            lambda: is_closed_by_peer(transport),
+        )
         state = _STATE_BY_CODE.get(answer.code)
         if state is None:
             return self._refusal(answer.code, answer.retry_after_s)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -212,6 +212,10 @@
         ):
             return reply.status
 
+    def front_port(self, entry):
+        """Return the port at which an entry takes its callers' connections."""
+        return self._fronts[entry]
+
     def ready_url(self, entry):
         """Return where the balancer asks an entry."""
         return f"http://{HOST}:{self._readies[entry]}/api/readiness"
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -1,17 +1,65 @@
 """Requests that wait in the kernel until an entry reads them."""
 
 import asyncio
+import json
 import socket
+import struct
 import time
 
+import pytest
 import uvloop
 
-from ragwortlug.io.connections import unread_s
-from tests.test_platform import HOST, free_ports
+from ragwortlug.io.connections import is_closed_by_peer, unread_s
+from tests.test_platform import HOST, JOB, free_ports, on_site  # noqa: F401
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 UNREAD_S = 0.2
 
 
+def connect_and_send(port, path="/", body=b"{}", host="a.example"):
+    """Send a request without giving the event loop a turn; return the socket."""
+    connection = socket.create_connection((HOST, port))
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {host}\r\n"
+        f"Content-Length: {len(body)}\r\nDeadline-Ms: 20000\r\n\r\n"
+    )
+    connection.sendall(head.encode() + body)
+    return connection
+
+
+def close(connection):
+    """Close a connection in order."""
+    connection.close()
+
+
+def reset(connection):
+    """Reset a connection."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
+
+class TestCallerThatHasLeft:
+    """The connection has ended before the entry reads the request."""
+
+    @pytest.mark.parametrize("leave", [close, reset])
+    def test_an_unread_request_of_a_caller_that_has_left_starts_no_run(
+        self,
+        on_site,  # noqa: F811
+        leave,
+    ):
+        async def scenario(site):
+            step = {"count": 2, "cpu": 6000, "mem_mb": 64, "estimate_ms": 300}
+            job = {"spec": "0.3", "best_effort": True, "steps": [step]}
+            body = json.dumps(job).encode()
+            leave(connect_and_send(site.front_port(0), f"/p/{JOB}", body))
+            later = "1" * 16
+            assert await site.submit(later) == (200, {"state": "completed"})
+            assert {task.partition(".")[0] for task, _ in site.started()} == {later}
+            await site.until(lambda: "caller_left" in site.story(JOB))
+
+        on_site(scenario)
+
+
 class TestKernel:
     """What the kernel knows of a connection."""
 
@@ -37,6 +85,16 @@
 
         uvloop.run(scenario())
 
+    @pytest.mark.parametrize("leave", [close, reset])
+    def test_an_end_that_was_not_read_is_known(self, leave):
+        def use(transport, connection):
+            connection.sendall(b"unread")
+            assert not is_closed_by_peer(transport)
+            leave(connection)
+            assert is_closed_by_peer(transport)
+
+        self.run_with_connection(use)
+
     def test_the_time_that_bytes_lie_unread_is_known(self):
         def use(transport, connection):
             connection.sendall(b"unread")
