Accept all connections that wait in each turn of the event loop

Callers saw requests that waited for a second and more at an entry which believed itself idle, while others left: its ticks were on time, it was "relieved" with two open jobs, and each turn of its loop served one connection whose caller had left.

Cause: uvloop accepts one connection of a listening port in each turn of its loop (100 connections: 100 turns; the plain event loop: 1). A turn takes some milliseconds under load, so that more than some 200 connections a second wait in the queue of the listener, up to 1,024 of them. No delay of the loop shows that, so load is not shed, and requests grow so old there that their callers ask elsewhere.

Listener accepts all that wait. What is too much for the entry now waits in its loop, which load shedding measures. Connections that wait when the entry stops listening are accepted too, and get an answer instead of a reset.

--- a/ragwortlug/io/http.py
+++ b/ragwortlug/io/http.py
@@ -5,12 +5,11 @@
 
 from ragwortlug.codes import Code
 from ragwortlug.errors import RagwortlugError, RequestError
+from ragwortlug.io.listener import Listener
 from ragwortlug.telemetry.logs import logger
 
 BYTES_PER_KB = 1024
 SHUTDOWN_TIMEOUT_S = 5.0
-# New connections that can wait while the event loop is busy; further ones are dropped.
-LISTEN_BACKLOG = 1024
 EXPOSITION_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = logger("http")
@@ -117,7 +116,7 @@
         self._port = port
         self._cancel_on_disconnect = cancel_on_disconnect
         self._runner = None
-        self._site = None
+        self._listener = None
         self._busy_connections = set()
         self.app = web.Application(
             client_max_size=body_limit_kb * BYTES_PER_KB,
@@ -133,21 +132,14 @@
             handler_cancellation=self._cancel_on_disconnect,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner,
-            self._host,
-            self._port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
-        )
-        await self._site.start()
+        self._listener = Listener(self._host, self._port, self._runner.server)
+        self._listener.start()
 
     async def stop_listening(self):
         """Stop accepting connections, and close those without a request in progress."""
-        if self._site is None:
+        if self._listener is None:
             return
-        await self._site.stop()
-        self._site = None
+        self._listener.stop()
         for connection in tuple(self._runner.server.connections):
             if connection not in self._busy_connections:
                 connection.force_close()
@@ -163,6 +155,7 @@
 
     async def stop(self):
         """Stop listening, and wait for requests in progress."""
+        await self._listener.abort()
         await self._runner.cleanup()
 
 
--- /dev/null
+++ b/ragwortlug/io/listener.py
@@ -0,0 +1,96 @@
+"""A listening port that accepts, in each turn of the event loop, all that wait."""
+
+import asyncio
+import socket
+
+from ragwortlug.actor import cancel_all
+from ragwortlug.telemetry.logs import logger
+
+# New connections that can wait while the event loop is busy; further ones are dropped.
+BACKLOG = 1024
+RETRY_INTERVAL_S = 0.1
+
+log = logger("listener")
+
+
+class Listener:
+    """Accepts the connections of one port.
+
+    The servers of some event loops accept one connection a turn. Under load the
+    others wait in the kernel then, where no delay of the event loop shows it.
+
+    Parameters
+    ----------
+    host, port : str, int
+        The address to listen on.
+    protocol_factory : callable
+        Returns the protocol of a new connection.
+    """
+
+    def __init__(self, host, port, protocol_factory):
+        self._address = (host, port)
+        self._protocol_factory = protocol_factory
+        self._socket = None
+        self._openings = set()
+
+    def start(self):
+        """Start listening."""
+        self._socket = socket.create_server(self._address, backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self._resume()
+
+    def stop(self):
+        """Stop listening; connections that wait are accepted before."""
+        if self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
+        self._accept_all()
+        loop.remove_reader(self._socket)
+        self._socket.close()
+        self._socket = None
+
+    async def abort(self):
+        """Stop listening, and drop the connections that are being opened."""
+        self.stop()
+        await cancel_all(self._openings)
+
+    def _resume(self):
+        """Accept connections whenever some wait."""
+        if self._socket is not None:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self._socket, self._accept_all)
+
+    def _accept_all(self):
+        """Accept all connections that wait."""
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                # Without a pause the loop would be woken again at once.
+                log.warning("A connection can't be accepted: {}.", error)
+                loop = asyncio.get_running_loop()
+                loop.remove_reader(self._socket)
+                loop.call_later(RETRY_INTERVAL_S, self._resume)
+                return
+            self._open(connection)
+
+    def _open(self, connection):
+        """Give a new connection its protocol."""
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        opening = loop.create_task(
+            loop.connect_accepted_socket(self._protocol_factory, connection)
+        )
+        self._openings.add(opening)
+        opening.add_done_callback(self._on_opened)
+
+    def _on_opened(self, opening):
+        """Log why a connection couldn't be opened, if it couldn't."""
+        self._openings.discard(opening)
+        if not opening.cancelled() and opening.exception() is not None:
+            log.warning("A connection can't be opened: {}.", opening.exception())
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -8,11 +8,16 @@
 
 import pytest
 import uvloop
+from aiohttp import web
 
 from ragwortlug.io.connections import is_closed_by_peer, unread_s
+from ragwortlug.io.http import HttpServer
 from tests.test_platform import HOST, JOB, free_ports, on_site  # noqa: F401
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CALLERS = 64
+# Turns of the event loop from a connection's arrival until its handler runs.
+TURNS = 12
 UNREAD_S = 0.2
 
 
@@ -60,6 +65,32 @@
         on_site(scenario)
 
 
+class TestListener:
+    """Connections that have arrived while the event loop was busy."""
+
+    def test_all_of_them_are_accepted_in_few_turns_of_the_event_loop(self):
+        async def scenario():
+            handled = []
+
+            async def handle(_request):
+                handled.append(True)
+                return web.Response()
+
+            (port,) = free_ports(1)
+            server = HttpServer(HOST, port, 1)
+            server.app.add_routes([web.post("/", handle)])
+            await server.start()
+            connections = [connect_and_send(port) for _ in range(CALLERS)]
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+            for connection in connections:
+                connection.close()
+            await server.stop()
+            assert len(handled) == CALLERS
+
+        uvloop.run(scenario())
+
+
 class TestKernel:
     """What the kernel knows of a connection."""
 
