Start no job for a request that lay unread too long

Entries announce a job that is older than 0.5 s to each other, since its caller may be back at another one after 1.3 s. The age was counted from when the request was read. One that had lain unread for a second was young here, unannounced, and already open elsewhere, even where its connection looks open since its end has not reached this entry.

The age counts from the arrival of the request now. At 0.5 s and more nothing is started, as for a request that has waited so long for another entry's job; the answer is 300, after which callers ask again, and request_late is logged. Not covered: bytes that a link has held before they arrived.

--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -28,6 +28,10 @@
     REQUEST_ANSWERED = "request_answered", "A request was answered."
 
     CALLER_LEFT = "caller_left", "A request was read after its caller had left."
+    REQUEST_LATE = (
+        "request_late",
+        "A request was read so late that its caller may have submitted it elsewhere.",
+    )
     JOB_ACCEPTED = "job_accepted", "A job was accepted, with its forecast."
     JOB_ATTACHED = "job_attached", "A request waits for a job accepted before."
     JOB_FOLLOWED = "job_followed", "A request waits for a job of another entry."
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -37,6 +37,11 @@
     }
 
 
+def request_late(job_id, arrived, now):
+    """Return the event of a request that was read late; see `EventName`."""
+    return Event(EventName.REQUEST_LATE, job_id, {"age_ms": whole_ms(now - arrived)})
+
+
 def job_attached(record):
     """Return the event of a request that is attached to an open job."""
     fields = {"requests": len(record.requests)}
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -163,7 +163,8 @@
         deadline : float
             Monotonic seconds at which the caller stops waiting.
         arrived : float, optional
-            Monotonic seconds at which the request arrived; `now` by default.
+            Monotonic seconds at which the request arrived; `now` by default. If its
+            caller may have submitted the job elsewhere since, nothing is started.
         """
         arrived = now if arrived is None else arrived
         record = self._records.get(job.id)
@@ -180,6 +181,9 @@
         )
         if followed is not None:
             return followed
+        if self._shared_jobs.may_be_elsewhere(arrived, now):
+            late = events.request_late(job.id, arrived, now)
+            return [late, RequestAnswer(request_id, job.id, Code.OUTCOME_UNKNOWN)]
         return self._accept(request_id, job, queue, deadline, now, arrived)
 
     def _accept(self, request_id, job, queue, deadline, now, arrived):
--- a/ragwortlug/jobs/shared_jobs.py
+++ b/ragwortlug/jobs/shared_jobs.py
@@ -103,6 +103,15 @@
         request = self._remote_requests.pop(request_id)
         return None if request is None else [request.detach()]
 
+    def may_be_elsewhere(self, arrived, now):
+        """Return whether a caller may have submitted its job elsewhere meanwhile.
+
+        `arrived` is when its request arrived here. Other entries have not been told of
+        the job by the time from which on that is possible.
+        """
+        waited_s = now - arrived
+        return self._owners.knows_others and waited_s >= self._owners.announced_age_s
+
     def cancel_elsewhere(self, job_id, now):
         """Cancel a job of another entry; return the effects, or None if none has it."""
         owner = self._owners.owner_of(job_id, now)
--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ragwortlug.codes import Code
+from ragwortlug.jobs.request_answer import RequestAnswer
 from ragwortlug.lease_messages import StopRuns
 from tests.play import Faults, Play
 from tests.test_restartable import strike
@@ -108,3 +109,32 @@
         assert play.broken == []
         codes = {caller.code for caller in play.callers.values()}
         assert Code.OK in codes
+
+
+class TestLateRequest:
+    """An entry reads a request long after it has arrived."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_a_request_read_after_its_caller_asked_elsewhere_starts_no_run(self, seed):
+        play = Play(seed=seed).build(entries=3, workers=4)
+        play.run_until(1.0)
+        first_entry, second_entry, _ = play.homes
+        retry_s = play.settings.caller_retry_ms / 1000.0
+        caller = play.hand_in(1, 2, LONG_RUN_S, deadline_s=12.0, entry=second_entry)
+        after_s = random.Random(seed).uniform(0.0, 0.3)
+        play.run_until(play.now + after_s)
+        answers = []
+
+        def read(now):
+            arrived = now - after_s - retry_s
+            effects = first_entry.dispatcher.submit(
+                "first", caller.job, caller.queue, caller.deadline, now, arrived
+            )
+            answers.extend(each for each in effects if isinstance(each, RequestAnswer))
+            return effects
+
+        first_entry.run(read)
+        play.run_until(16.0)
+        assert play.broken == []
+        assert caller.code is Code.OK
+        assert [answer.code for answer in answers] == [Code.OUTCOME_UNKNOWN]
