--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -96,11 +96,15 @@
         rng = self._site.rng
         ends_at = self._now() + for_s
         while self._now() < ends_at:
-            task = asyncio.create_task(self.submit(KINDS))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.begin_job(KINDS)
             await asyncio.sleep(rng.expovariate(per_s))
 
+    def begin_job(self, kinds=SHORT_KINDS):
+        """Hand a job in without waiting for its answer."""
+        task = asyncio.create_task(self.submit(kinds))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def settle(self):
         """Wait until every job has its answer."""
         while self._tasks:
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -17,6 +17,10 @@
 FLAP_DOWN_S = (0.01, 0.06)
 REFUSED_LEAST_S = 0.02
 CALLERS_DELAY_S = (0.1, 1.0)
+# A process without its processor for so long isn't missed by others.
+STALL_S = 0.4
+RUN_S = (0.005, 0.03)
+CROWD_JOBS = (40, 160)
 
 
 def _anyone(site, rng):
@@ -88,6 +92,23 @@
     )
 
 
+async def slow_entry(site, _callers, rng, for_s):
+    """Give an entry a small share of the processor."""
+    name = rng.choice(site.entries)
+    program = site.programs[name]
+    ends_at = asyncio.get_running_loop().time() + for_s
+    over = site.witness.begin((name,))
+    try:
+        while asyncio.get_running_loop().time() < ends_at:
+            program.signal(signal.SIGSTOP)
+            await asyncio.sleep(STALL_S)
+            program.signal(signal.SIGCONT)
+            await asyncio.sleep(rng.uniform(*RUN_S))
+    finally:
+        program.signal(signal.SIGCONT)
+        over()
+
+
 async def reload(site, _callers, rng, _for_s):
     """Tell processes that their settings have changed."""
     for name in rng.sample([*site.entries, *site.agents], 3):
@@ -219,6 +240,25 @@
     over()
 
 
+async def crowd(site, callers, rng, for_s):
+    """Let many callers come at once."""
+    over = site.witness.begin(tuple(callers_of(each) for each in site.entries))
+    for _ in range(rng.randint(*CROWD_JOBS)):
+        callers.begin_job()
+    await asyncio.sleep(for_s)
+    over()
+
+
+async def drop_callers(site, _callers, rng, for_s):
+    """Reset the connections between callers and an entry a few times."""
+    entry = rng.choice(site.entries)
+    over = site.witness.begin((callers_of(entry),))
+    for _ in range(3):
+        site.links.reset(lambda *ends: ends == ("callers", entry))
+        await asyncio.sleep(for_s / 3)
+    over()
+
+
 async def delay_callers(site, _callers, rng, for_s):
     """Let the bytes between callers and an entry arrive late."""
     entry = rng.choice(site.entries)
@@ -438,4 +478,5 @@
 )
 CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers, lose_stops)
 WORKER_KINDS = (flap_worker, refuse_worker)
-KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS, part_entries)
+SLOW_KINDS = (slow_entry, drop_callers, crowd)
+KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS, part_entries, *SLOW_KINDS)
