Order no first run for a waiting job whose caller has left

A job that waits for room was still ordered after its caller's reset had arrived, until the loop had read the end of the connection (review: first run ordered 0.5 ms after the reset, abandoned 5 ms after it).

The record of a job has for each request the function that tells whether its caller has left. It is asked when the first run of a job is about to be ordered; a job that all callers have left is passed over. caller_left has limit_ms and age_ms now.

test_a_waiting_job_of_a_caller_that_has_left_starts_no_run fails without the check. The tests of late requests now go through sockets, and fail if the callers' routes give no age, or the wrong field of TCP_INFO. starts_no_run looked for a log line that the loop need not get to write, when it reads the end of the connection before the handler begins; that line has a test of its own.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -9,6 +9,7 @@
 from ragwortlug.codes import Code
 from ragwortlug.envelope import Send
 from ragwortlug.events import Event, EventName
+from ragwortlug.jobs import dispatch_events as events
 from ragwortlug.jobs.request_answer import RequestAnswer
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
@@ -151,12 +152,12 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = future
         started_at = self._timer.monotonic()
+        arrived = started_at - unread_s
+        deadline = arrived + limit_s
+        submission = SubmitWork(request_id, job, queue, arrived, deadline, has_left)
         if has_left():
-            self._drop(request_id, job.id)
+            self._drop(submission)
         elif self._admit(job):
-            arrived = started_at - unread_s
-            deadline = arrived + limit_s
-            submission = SubmitWork(request_id, job, queue, arrived, deadline, has_left)
             self.post(None, submission)
         else:
             code = Code.ENTRY_OVERLOADED
@@ -187,10 +188,12 @@
             return True
         return self._load_shedder.admit(sum(step.count for step in job.steps))
 
-    def _drop(self, request_id, job_id):
+    def _drop(self, submission):
         """Start nothing for a request whose caller has left."""
-        left = Event(EventName.CALLER_LEFT, job_id)
-        self._perform([left, RequestAnswer(request_id, job_id, Code.OUTCOME_UNKNOWN)])
+        now, job_id = self._timer.monotonic(), submission.job.id
+        left = events.caller_left(job_id, submission.arrived, submission.deadline, now)
+        code = Code.OUTCOME_UNKNOWN
+        self._perform([left, RequestAnswer(submission.request_id, job_id, code)])
 
     def _since(self, started_at):
         """Return the seconds since a monotonic time."""
@@ -201,7 +204,7 @@
         if event.request_id not in self._waiting:
             return
         if event.has_left():
-            self._drop(event.request_id, event.job.id)
+            self._drop(event)
             return
         now = self._timer.monotonic()
         self._perform(
@@ -212,6 +215,7 @@
                 event.deadline,
                 now,
                 event.arrived,
+                event.has_left,
             )
         )
 
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -37,6 +37,12 @@
     }
 
 
+def caller_left(job_id, arrived, deadline, now):
+    """Return the event of a request that was read after its caller had left."""
+    fields = {"limit_ms": whole_ms(deadline - now), "age_ms": whole_ms(now - arrived)}
+    return Event(EventName.CALLER_LEFT, job_id, fields)
+
+
 def request_late(job_id, arrived, now):
     """Return the event of a request that was read late; see `EventName`."""
     return Event(EventName.REQUEST_LATE, job_id, {"age_ms": whole_ms(now - arrived)})
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -19,7 +19,7 @@
 from ragwortlug.jobs import dispatch_events as events
 from ragwortlug.jobs.job_refusals import JobRefusals
 from ragwortlug.jobs.request_answer import RequestAnswer, default_retry_after_s
-from ragwortlug.jobs.restartable import RestartableRecord
+from ragwortlug.jobs.restartable import RestartableRecord, never
 from ragwortlug.jobs.risky_jobs import RiskyJobs
 from ragwortlug.jobs.run_assigner import RunAssigner
 from ragwortlug.jobs.run_feedback import RunFeedback
@@ -151,7 +151,9 @@
 
     # Requests.
 
-    def submit(self, request_id, job, queue, deadline, now, arrived=None):
+    def submit(
+        self, request_id, job, queue, deadline, now, arrived=None, has_left=never
+    ):
         """Accept or refuse a job, or attach the request to the open job of that id.
 
         The open job may be that of another entry.
@@ -165,11 +167,13 @@
         arrived : float, optional
             Monotonic seconds at which the request arrived; `now` by default. If its
             caller may have submitted the job elsewhere since, nothing is started.
+        has_left : callable, optional
+            Returns whether the caller has left; asked before the job's first run.
         """
         arrived = now if arrived is None else arrived
         record = self._records.get(job.id)
         if record is not None:
-            record.attach(request_id, deadline)
+            record.attach(request_id, deadline, has_left)
             return [events.job_attached(record)]
         if self._crashes.is_given_up(job.id):
             failed = events.job_failed_before(job.id)
@@ -184,9 +188,9 @@
         if self._shared_jobs.may_be_elsewhere(arrived, now):
             late = events.request_late(job.id, arrived, now)
             return [late, RequestAnswer(request_id, job.id, Code.OUTCOME_UNKNOWN)]
-        return self._accept(request_id, job, queue, deadline, now, arrived)
+        return self._accept(request_id, job, queue, deadline, now, arrived, has_left)
 
-    def _accept(self, request_id, job, queue, deadline, now, arrived):
+    def _accept(self, request_id, job, queue, deadline, now, arrived, has_left):
         """Accept a job that no entry has open, or refuse it."""
         estimates = self._feedback.estimates(queue.name, job.steps, now)
         record = RestartableRecord(job, queue, arrived, deadline, 0.0, estimates)
@@ -196,7 +200,7 @@
         if code is not None:
             fields = self._job_fields(record, critical_path_ms, now)
             return self.refuse(request_id, job.id, code, fields)
-        record.requests.add(request_id)
+        record.attach(request_id, deadline, has_left)
         self._records[job.id] = record
         self._update_waiting(record)
         fields = self._job_fields(record, critical_path_ms, now)
@@ -220,7 +224,7 @@
         record = self._records.get(job_id)
         if record is None or request_id not in record.requests:
             return []
-        record.requests.discard(request_id)
+        del record.requests[request_id]
         if record.requests:
             return []
         abandoned = events.job_abandoned(record, now)
--- a/ragwortlug/jobs/restartable.py
+++ b/ragwortlug/jobs/restartable.py
@@ -9,6 +9,11 @@
 OUTDATED_ATTEMPT_SKIP = 8
 
 
+def never():
+    """Return False; says that a caller has not left whose connection isn't known."""
+    return False
+
+
 class RunState(enum.Enum):
     """The state of a task of a restartable job."""
 
@@ -91,7 +96,8 @@
         self._assigned = 0
         self._may_have_run = False
         self._checks_estimate = False
-        self.requests = set()
+        # For each request a function that returns whether its caller has left.
+        self.requests = {}
 
     @property
     def done(self):
@@ -103,6 +109,11 @@
         """Return whether a task may have started; refused assignments don't count."""
         return self._may_have_run or self._assigned > 0
 
+    @property
+    def is_deserted(self):
+        """Return whether all callers have left, though not all may be withdrawn yet."""
+        return all(has_left() for has_left in self.requests.values())
+
     @property
     def checks_estimate(self):
         """Return whether the job was admitted against its estimate, to check it."""
@@ -164,9 +175,12 @@
         """Let the job run although it is estimated to miss its deadline."""
         self._checks_estimate = True
 
-    def attach(self, request_id, deadline):
-        """Add a request whose caller waits until a deadline, in monotonic seconds."""
-        self.requests.add(request_id)
+    def attach(self, request_id, deadline, has_left=never):
+        """Add a request whose caller waits until a deadline, in monotonic seconds.
+
+        `has_left` returns whether the caller has left before.
+        """
+        self.requests[request_id] = has_left
         self.deadline = max(self.deadline, deadline)
 
     def assign(self, task, number, agent, now):
--- a/ragwortlug/jobs/run_assigner.py
+++ b/ragwortlug/jobs/run_assigner.py
@@ -88,6 +88,8 @@
         for rank, record in ranked:
             if not self._risky_jobs.may_run_on(worker, record, now):
                 continue
+            if not record.begun and record.is_deserted:
+                continue
             assignments = []
             for task in self._waiting_jobs.eligible_tasks(record):
                 step = record.job.steps[task.step]
@@ -125,6 +127,8 @@
             is_confined = self._risky_jobs.is_confined(record, now)
             if first_blocked is not None and not is_confined:
                 continue
+            if not record.begun and record.is_deserted:
+                continue
             assignments = []
             for task in self._waiting_jobs.eligible_tasks(record):
                 step = record.job.steps[task.step]
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -10,8 +10,10 @@
 import uvloop
 from aiohttp import web
 
+from ragwortlug.codes import Code
 from ragwortlug.io.connections import is_closed_by_peer, unread_s
 from ragwortlug.io.http import HttpServer
+from ragwortlug.restartable_model import Resources, RestartableJob, Step
 from tests.test_platform import HOST, JOB, free_ports, on_site  # noqa: F401
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -19,6 +21,10 @@
 # Turns of the event loop from a connection's arrival until its handler runs.
 TURNS = 12
 UNREAD_S = 0.2
+# Over half a second: from then on other entries would have been told of the job.
+LATE_S = 0.6
+# Resolution of the kernel's age, and of its clock.
+CLOCK_TICK_S = 0.02
 
 
 def connect_and_send(port, path="/", body=b"{}", host="a.example"):
@@ -60,7 +66,69 @@
             later = "1" * 16
             assert await site.submit(later) == (200, {"state": "completed"})
             assert {task.partition(".")[0] for task, _ in site.started()} == {later}
+
+        on_site(scenario)
+
+    def test_a_waiting_job_of_a_caller_that_has_left_starts_no_run(
+        self,
+        on_site,  # noqa: F811
+    ):
+        async def scenario(site):
+            dispatcher = site.entries[0].find("dispatcher")
+            first = asyncio.create_task(site.submit("1" * 16, "0.4", 20))
+            await site.until(lambda: len(site.started()) == 20)
+            step = Step(1, Resources(6000, 64, 0), 300)
+            job = RestartableJob(JOB, "0.3", (step,))
+            has_left = []
+            queue = dispatcher._gossip.orders.table.queues[0]
+            second = asyncio.create_task(
+                dispatcher.run(job, queue, 20.0, 0.0, lambda: bool(has_left))
+            )
+            await site.until(lambda: dispatcher.open_jobs == 2)
+            has_left.append(True)
+            assert await first == (200, {"state": "completed"})
+            assert await site.submit("2" * 16) == (200, {"state": "completed"})
+            second.cancel()
+            assert len(site.started()) == 22
+
+        on_site(scenario)
+
+    def test_a_request_of_a_caller_that_has_left_is_logged(
+        self,
+        on_site,  # noqa: F811
+    ):
+        async def scenario(site):
+            dispatcher = site.entries[0].find("dispatcher")
+            queue = dispatcher._gossip.orders.table.queues[0]
+            job = RestartableJob(JOB, "0.3", (Step(1, Resources(6000, 64, 0), 300),))
+            answer = await dispatcher.run(job, queue, 20.0, 0.1, lambda: True)
+            assert answer.code is Code.OUTCOME_UNKNOWN
             await site.until(lambda: "caller_left" in site.story(JOB))
+            assert "age_ms=100" in site.story(JOB)
+
+        on_site(scenario)
+
+
+class TestLateRequest:
+    """A request lies unread while the entry stands still."""
+
+    def test_a_request_that_lay_unread_too_long_starts_no_run(
+        self,
+        on_site,  # noqa: F811
+    ):
+        async def scenario(site):
+            step = {"count": 1, "cpu": 6000, "mem_mb": 64, "estimate_ms": 50}
+            body = json.dumps({"spec": "0.05", "best_effort": True, "steps": [step]})
+            path = f"/p/{JOB}"
+            connection = connect_and_send(site.front_port(0), path, body.encode())
+            time.sleep(LATE_S)
+            connection.setblocking(False)
+            loop = asyncio.get_running_loop()
+            head = await loop.sock_recv(connection, 1024)
+            connection.close()
+            assert head.startswith(b"HTTP/1.1 504 ")
+            assert site.started() == []
+            await site.until(lambda: "request_late" in site.story(JOB))
 
         on_site(scenario)
 
@@ -133,3 +201,12 @@
             assert unread_s(transport) >= 0.9 * UNREAD_S
 
         self.run_with_connection(use)
+
+    def test_only_the_latest_bytes_count(self):
+        def use(transport, connection):
+            time.sleep(UNREAD_S)
+            sent_at = time.monotonic()
+            connection.sendall(b"unread")
+            assert unread_s(transport) <= time.monotonic() - sent_at + CLOCK_TICK_S
+
+        self.run_with_connection(use)
