Answer the connections that wait when a server stops listening

A server that stops listening now waits until these connections are open, and 50 ms for their requests to be read. One turn accepts at most as many connections as the queue holds.

test_connections_that_wait_at_a_planned_stop_get_answers fails on both event loops if the listener accepts nothing on its stop; test_an_error_of_accept_is_tried_again if it doesn't go on after one.

--- a/ragwortlug/io/http.py
+++ b/ragwortlug/io/http.py
@@ -1,5 +1,7 @@
 """Code shared by all HTTP interfaces: the server, bodies and error responses."""
 
+import asyncio
+
 import msgspec
 from aiohttp import web
 
@@ -10,6 +12,8 @@
 
 BYTES_PER_KB = 1024
 SHUTDOWN_TIMEOUT_S = 5.0
+# What connections that were accepted last have sent is read within this time.
+LAST_REQUESTS_S = 0.05
 EXPOSITION_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 log = logger("http")
@@ -136,13 +140,19 @@
         self._listener.start()
 
     async def stop_listening(self):
-        """Stop accepting connections, and close those without a request in progress."""
+        """Stop accepting connections, and close those without a request in progress.
+
+        Connections that wait are accepted, and get answers to what they have sent.
+        """
         if self._listener is None:
             return
+        connections = tuple(self._runner.server.connections)
         self._listener.stop()
-        for connection in tuple(self._runner.server.connections):
+        for connection in connections:
             if connection not in self._busy_connections:
                 connection.force_close()
+        await self._listener.wait_opened()
+        await asyncio.sleep(LAST_REQUESTS_S)
 
     @web.middleware
     async def _track_connection(self, request, handler):
@@ -155,7 +165,7 @@
 
     async def stop(self):
         """Stop listening, and wait for requests in progress."""
-        await self._listener.abort()
+        await self.stop_listening()
         await self._runner.cleanup()
 
 
--- a/ragwortlug/io/listener.py
+++ b/ragwortlug/io/listener.py
@@ -3,7 +3,6 @@
 import asyncio
 import socket
 
-from ragwortlug.actor import cancel_all
 from ragwortlug.telemetry.logs import logger
 
 # New connections that can wait while the event loop is busy; further ones are dropped.
@@ -50,10 +49,9 @@
         self._socket.close()
         self._socket = None
 
-    async def abort(self):
-        """Stop listening, and drop the connections that are being opened."""
-        self.stop()
-        await cancel_all(self._openings)
+    async def wait_opened(self):
+        """Wait until the accepted connections have their protocols."""
+        await asyncio.gather(*self._openings, return_exceptions=True)
 
     def _resume(self):
         """Accept connections whenever some wait."""
@@ -63,7 +61,7 @@
 
     def _accept_all(self):
         """Accept all connections that wait."""
-        while True:
+        for _ in range(BACKLOG):
             try:
                 connection, _ = self._socket.accept()
             except BlockingIOError:
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -1,10 +1,12 @@
 """Requests that wait in the kernel until an entry reads them."""
 
 import asyncio
+import errno
 import json
 import socket
 import struct
 import time
+from unittest import mock
 
 import pytest
 import uvloop
@@ -13,6 +15,7 @@
 from ragwortlug.codes import Code
 from ragwortlug.io.connections import is_closed_by_peer, unread_s
 from ragwortlug.io.http import HttpServer
+from ragwortlug.io.listener import Listener
 from ragwortlug.restartable_model import Resources, RestartableJob, Step
 from tests.test_platform import HOST, JOB, free_ports, on_site  # noqa: F401
 
@@ -158,6 +161,56 @@
 
         uvloop.run(scenario())
 
+    @pytest.mark.parametrize("run", [uvloop.run, asyncio.run])
+    def test_connections_that_wait_at_a_planned_stop_get_answers(self, run):
+        async def scenario():
+            async def handle(_request):
+                return web.Response(status=503)
+
+            (port,) = free_ports(1)
+            server = HttpServer(HOST, port, 1)
+            server.app.add_routes([web.post("/", handle)])
+            await server.start()
+            connections = [connect_and_send(port) for _ in range(CALLERS)]
+            await server.stop_listening()
+            heads = []
+            for connection in connections:
+                connection.setblocking(False)
+                loop = asyncio.get_running_loop()
+                heads.append(await loop.sock_recv(connection, 1024))
+                connection.close()
+            await server.stop()
+            assert all(head.startswith(b"HTTP/1.1 503 ") for head in heads)
+
+        run(scenario())
+
+    def test_an_error_of_accept_is_tried_again(self):
+        async def scenario():
+            (port,) = free_ports(1)
+            accepted = asyncio.Event()
+
+            class Accepted(asyncio.Protocol):
+                def connection_made(self, transport):
+                    accepted.set()
+                    transport.abort()
+
+            listener = Listener(HOST, port, Accepted)
+            listener.start()
+            listening = listener._socket
+            failing = mock.Mock(wraps=listening)
+            failing.accept.side_effect = OSError(errno.EMFILE, "no descriptor")
+            listener._socket = failing
+            connection = socket.create_connection((HOST, port))
+            listener._accept_all()
+            assert failing.accept.call_count == 1
+            listener._socket = listening
+            async with asyncio.timeout(20.0):
+                await accepted.wait()
+            connection.close()
+            listener.stop()
+
+        asyncio.run(scenario())
+
 
 class TestKernel:
     """What the kernel knows of a connection."""
