Use a later boot of a worker only once it has answered

Callers may see TWICE: two runs of one task. An agent ordered the boots of its worker by the time at which they started. That is wall-clock time, which steps. A report of a former boot whose clock was ahead, delayed by a partition, passed for one of a later boot: the live runs were reported as lost at once (proof "replaced") and could start elsewhere.

A report of another boot than the current one is a hint now (jobs/reported_boots.py). As a VM has one worker, the boot that answers is the later one, whatever the clocks say. 421 or another boot's start time in the answer drops the report. A boot without an answer is asked again for two seconds after its latest report.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -21,6 +21,7 @@
     may_reach,
 )
 from ragwortlug.jobs.permissions import Permissions
+from ragwortlug.jobs.reported_boots import ReportedBoots
 from ragwortlug.jobs.resource_reports import ResourceReports
 from ragwortlug.jobs.run_ends import RunEnds
 from ragwortlug.jobs.worker_calls import (
@@ -65,7 +66,7 @@
         self._latest_snapshot_requested_at = 0.0
         self._run_ends = RunEnds(self._runs, self._reports.unreserved)
         self._next_snapshot_at = 0.0
-        self._ended_boot_id = None
+        self._reported_boots = ReportedBoots()
         # The latest report of a boot that was replaced, and when it was first missed,
         # while it is open which of its runs the later boot has.
         self._replaced_boot = None
@@ -109,38 +110,63 @@
     def on_report(self, report, now, recalled=False):
         """Handle a worker's report; one older than the latest is ignored.
 
+        A report of another boot than the current one may have been delayed. It ends
+        nothing before that boot has answered.
+
         `recalled` says that a former process has stored it. The boot that it names is
         used at once, but the worker's capacity, labels and draining may have changed
         since, so that no run starts before the worker's next report.
         """
+        if self._reported_boots.current_known_at is None:
+            return self._use_boot(report, now, recalled)
+        if recalled:
+            return []
+        if self._worker is not None and report.boot_id == self._worker.boot_id:
+            return self._on_current_report(report)
+        self._reported_boots.add(report, now)
+        return self._ask_reported_boots(now)
+
+    def _on_current_report(self, report):
+        """Handle a report of the current boot."""
         previous = self._worker
-        if recalled and previous is not None:
+        if report.sequence <= previous.sequence:
             return []
-        if previous is not None and report.boot_id == previous.boot_id:
-            if report.sequence <= previous.sequence:
-                return []
-            self._worker = report
-            is_first, self._has_current_report = not self._has_current_report, True
-            if self._departed:
-                self._departed = False
-                self._has_snapshot = False
-            if (report.draining, report.capacity) != (
-                previous.draining,
-                previous.capacity,
-            ):
-                fields = {"worker": report.id, "draining": report.draining}
-                fields |= {"remaining_ms": report.remaining_ms}
-                fields |= {"capacity_mc": report.capacity.cpu}
-                changed = Event(EventName.WORKER_CHANGED, "", fields)
-                return [changed, *self._request_renewals()]
-            return self._request_renewals() if is_first else []
-        if previous is None and self._runs and self._replaced_boot is not None:
-            previous, _ = self._replaced_boot
-        older = previous is not None and report.booted_at_ms < previous.booted_at_ms
-        if older or report.boot_id == self._ended_boot_id:
+        self._worker = report
+        is_first, self._has_current_report = not self._has_current_report, True
+        if self._departed:
+            self._departed = False
+            self._has_snapshot = False
+        if (report.draining, report.capacity) != (previous.draining, previous.capacity):
+            fields = {"worker": report.id, "draining": report.draining}
+            fields |= {"remaining_ms": report.remaining_ms}
+            fields |= {"capacity_mc": report.capacity.cpu}
+            changed = Event(EventName.WORKER_CHANGED, "", fields)
+            return [changed, *self._request_renewals()]
+        return self._request_renewals() if is_first else []
+
+    def _ask_reported_boots(self, now):
+        """Return the effects that ask boots that reported whether they run."""
+        return self._reported_boots.ask(self._lease.fencing_token, now)
+
+    def _on_asked_boot_answered(self, snapshot, request, now):
+        """Use a boot that reported if the answer shows that it is the one that runs."""
+        report = self._reported_boots.answering(snapshot, request)
+        if report is None:
             return []
+        may_be_current = (
+            not snapshot.booted_at_ms
+            and self._worker is not None
+            and self._worker.id == report.id
+            and snapshot.clock_ms >= self._lease.least_clock_ms
+        )
+        return [] if may_be_current else self._use_boot(report, now)
+
+    def _use_boot(self, report, now, recalled=False):
+        """Begin with a boot of the worker, which replaces the current one."""
         effects = self._on_boot_replaced(report.id, now)
         self._worker = report
+        self._reported_boots.begin(now)
+        self._reported_boots.remove(report.boot_id)
         self._has_current_report = not recalled
         self._has_snapshot = False
         self._departed = False
@@ -178,6 +204,7 @@
 
     def on_other_id_answered(self, boot, now):
         """Handle the answer of a worker with another id to a call to a boot."""
+        self._reported_boots.remove(boot)
         if self._worker is None or boot != self._worker.boot_id:
             return []
         return self._on_replaced(None, now)
@@ -195,9 +222,10 @@
         fields |= {"open_runs": len(self._runs)}
         fields["born_ms"] = self._worker.booted_at_ms
         effects.append(Event(EventName.WORKER_GONE, "", fields))
-        self._ended_boot_id = self._worker.boot_id
+        self._reported_boots.begin(now)
         self._worker = None
         self._has_snapshot = False
+        effects += self._ask_reported_boots(now)
         return effects + self._request_renewals()
 
     def _on_boot_replaced(self, later_id, now):
@@ -220,11 +248,12 @@
 
     def on_fenced(self, request, clock_ms):
         """Raise the fencing token after the worker has refused it as too low."""
-        if self._worker is None or request.boot != self._worker.boot_id:
-            return []
-        if request.fencing_token < self._lease.fencing_token:
+        report = self._reported_boots.get(request.boot)
+        if self._worker is not None and request.boot == self._worker.boot_id:
+            report = self._worker
+        if report is None or request.fencing_token < self._lease.fencing_token:
             return []
-        token = self._worker.booted_at_ms + clock_ms
+        token = report.booted_at_ms + clock_ms
         self._lease.raise_token(max(token, self._lease.fencing_token + 1))
         return [RequestSnapshot()]
 
@@ -263,11 +292,16 @@
 
     def on_snapshot(self, snapshot, request, now):
         """Handle a worker's snapshot, the answer to a `SnapshotRequest`."""
-        if self._worker is None:
-            return []
-        if request.boot != self._worker.boot_id:
+        if self._worker is None or request.boot != self._worker.boot_id:
+            return self._on_asked_boot_answered(snapshot, request, now)
+        if request.requested_at < self._reported_boots.current_known_at:
+            # It asked whether the boot runs, and fenced no commands to the former one.
             return []
-        if snapshot.booted_at_ms and snapshot.booted_at_ms != self._worker.booted_at_ms:
+        if snapshot.booted_at_ms not in (0, self._worker.booted_at_ms):
+            later = (self._worker.id, snapshot.booted_at_ms)
+            report = self._reported_boots.get(later)
+            if report is not None:
+                return self._use_boot(report, now)
             return self._on_replaced(self._worker.id, now)
         if not snapshot.booted_at_ms and snapshot.clock_ms < request.least_clock_ms:
             # It may come from a later boot, whose report follows.
@@ -586,6 +620,7 @@
         ):
             self._next_snapshot_at = now + SNAPSHOT_RETRY_INTERVAL_S
             effects.append(RequestSnapshot())
+        effects += self._ask_reported_boots(now)
         effects += self._reports.offer(now)
         return effects + self._reports.report_remainder()
 
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -160,6 +160,17 @@
     """An effect: request a snapshot from the worker now."""
 
 
+@dataclass(frozen=True, slots=True)
+class AskBoot:
+    """An effect: ask a boot that reported for a snapshot, which tells whether it runs.
+
+    The answer is handled like that to any other request for a snapshot.
+    """
+
+    report: WorkerReport
+    request: SnapshotRequest
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRenewals:
     """An effect: request a renewal from every dispatcher now."""
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -13,6 +13,7 @@
 from ragwortlug.events import Event, EventName
 from ragwortlug.jobs.dispatchers import Dispatchers
 from ragwortlug.jobs.worker_calls import (
+    AskBoot,
     RequestRenewals,
     RequestSnapshot,
     SnapshotRequest,
@@ -274,6 +275,8 @@
                 self._spawn_call(self._stop_run(effect))
             elif isinstance(effect, RequestSnapshot):
                 self._spawn_call(self._request_snapshot(0))
+            elif isinstance(effect, AskBoot):
+                self._spawn_call(self._ask(effect.report, effect.request, 0))
             elif isinstance(effect, RequestRenewals):
                 now = self._timer.monotonic()
                 for address in self._dispatchers.selected(now):
@@ -340,6 +343,10 @@
         request = self._runner.build_snapshot_request(self._timer.monotonic())
         if request is None:
             return False
+        return await self._ask(worker, request, wait_ms)
+
+    async def _ask(self, worker, request, wait_ms):
+        """Make a request for a snapshot; return whether the worker answered."""
         try:
             snapshot = await self._client.request_snapshot(worker, request, wait_ms)
         except WorkerFencedError as error:
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -1,5 +1,7 @@
 """Plays of workers that boot again under the same id at once."""
 
+import dataclasses
+
 import pytest
 
 from ragwortlug.codes import Code
@@ -114,3 +116,27 @@
     def test_beside_lost_answers(self, seed):
         faults = Faults(travel_s=0.04, no_answer=0.1, late_s=0.5)
         assert_sound(play_with(seed, faults, boot_again, 0.3))
+
+
+def delay_report(play, agent):
+    """Let a worker's report arrive after its next boot; its clock was ahead."""
+    worker = agent.worker
+    if not worker.up:
+        return
+    report = worker.report()
+    former = dataclasses.replace(report, booted_at_ms=report.booted_at_ms + 60_000)
+    boot_again(play, agent)
+    play.at(
+        play.rng.uniform(0.1, 0.6),
+        lambda: agent.run(lambda now: agent.runner.on_report(former, now)),
+    )
+
+
+class TestDelayedReports:
+    """A report of a former boot may arrive late, and boots aren't ordered by clocks."""
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_a_task_never_has_two_runs(self, seed):
+        play = play_with(seed, Faults(travel_s=0.01), delay_report, 0.3)
+        assert_sound(play)
+        assert served(play) > 0.7
