A start that another id answered ends no run of the boot that runs now

A start command is on its way to a boot while the next one, with the same id, is already used. If a boot with another id answers that command with 421, all open runs were reported as lost by proof "replaced", though the boot that runs now may have some of them: two runs.

Such an answer proves that this start was not carried out, so this run ends as not started. Only an answer to a command that was sent to the current boot proves that that one has ended.

test_a_start_that_another_id_answered_late_ends_no_run_of_the_next_boot failed before (the run that went on was reported as lost). test_a_start_that_another_id_answered_ends_without_a_report expects `not_started` instead of `lost` now, as nobody has started that run, and no crash.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -121,7 +121,7 @@
             return self._use_boot(report, now, recalled)
         if recalled:
             return []
-        if self._worker is not None and report.boot_id == self._worker.boot_id:
+        if self._is_current(report.boot_id):
             return self._on_current_report(report)
         self._reported_boots.add(report, now)
         return self._ask_reported_boots(now)
@@ -205,9 +205,7 @@
     def on_other_id_answered(self, boot, now):
         """Handle the answer of a worker with another id to a call to a boot."""
         self._reported_boots.remove(boot)
-        if self._worker is None or boot != self._worker.boot_id:
-            return []
-        return self._on_replaced(None, now)
+        return self._on_replaced(None, now) if self._is_current(boot) else []
 
     def _on_replaced(self, later_id, now):
         """Handle the end of the current boot of the worker without a notice.
@@ -249,7 +247,7 @@
     def on_fenced(self, request, clock_ms):
         """Raise the fencing token after the worker has refused it as too low."""
         report = self._reported_boots.get(request.boot)
-        if self._worker is not None and request.boot == self._worker.boot_id:
+        if self._is_current(request.boot):
             report = self._worker
         if report is None or request.fencing_token < self._lease.fencing_token:
             return []
@@ -292,7 +290,7 @@
 
     def on_snapshot(self, snapshot, request, now):
         """Handle a worker's snapshot, the answer to a `SnapshotRequest`."""
-        if self._worker is None or request.boot != self._worker.boot_id:
+        if not self._is_current(request.boot):
             return self._on_asked_boot_answered(snapshot, request, now)
         if request.requested_at < self._reported_boots.current_known_at:
             # It asked whether the boot runs, and fenced no commands to the former one.
@@ -388,7 +386,7 @@
         refused : bool
             Whether its port refused the connection.
         """
-        if self._worker is None or boot != self._worker.boot_id:
+        if not self._is_current(boot):
             return []
         effects = []
         if self._lease.on_failure(refused, now):
@@ -434,7 +432,9 @@
         """Handle the worker's answer to a command to start a run.
 
         `clock` is the `WorkerClock` of the answer, if there is one. An answer of a
-        later boot with the same id counts as none: its next snapshot decides.
+        later boot with the same id counts as none: its next snapshot decides. That
+        another id answered a command to a former boot proves nothing about the boot
+        that runs now.
         """
         local_run = self._runs.get(key)
         if local_run is None:
@@ -454,7 +454,7 @@
             unsure = [] if started else [event_of(EventName.RUN_UNSURE, local_run)]
             return [*unsure, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
-        if answer is StartAnswer.OTHER_BOOT:
+        if answer is StartAnswer.OTHER_BOOT and self._is_current(command.boot):
             return self._on_replaced(None, now)
         effects = self._run_ends.end([(key, end)], EndProof.NOT_STARTED, now)
         return self._reports.offer_then_report(effects, now)
@@ -635,6 +635,10 @@
 
     # Decisions.
 
+    def _is_current(self, boot_id):
+        """Return whether a boot is the current one."""
+        return self._worker is not None and self._worker.boot_id == boot_id
+
     def _refusal_end(self, sender, key, run, permitted):
         """Return the end to report for a run that must not start, or None."""
         if not permitted or not self.accepting:
