Exceed the tokens of a boot whose clock was ahead in steps that double

After a machine's clock was set back, a worker could stay unused for as long as the step: an agent's token never falls from one boot to the next, a new process of the agent begins with the boot's start time again, and the worker refuses all of its calls with 409. Each refusal raised the token by one (or to the worker's clock), so that a step of one hour took millions of calls.

test_the_tokens_of_a_boot_whose_clock_was_an_hour_ahead_are_soon_exceeded: not exceeded after 64 refusals before; fewer suffice now.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -251,8 +251,7 @@
             report = self._worker
         if report is None or request.fencing_token < self._lease.fencing_token:
             return []
-        token = report.booted_at_ms + clock_ms
-        self._lease.raise_token(max(token, self._lease.fencing_token + 1))
+        self._lease.raise_refused_token(report.booted_at_ms + clock_ms)
         return [RequestSnapshot()]
 
     def build_snapshot_request(self, now):
--- a/ragwortlug/jobs/worker_lease.py
+++ b/ragwortlug/jobs/worker_lease.py
@@ -3,6 +3,7 @@
 MS_PER_S = 1000.0
 CLOCK_DRIFT_FACTOR = 1.03
 WORKER_ANSWER_TIMEOUT_S = 0.35
+MAX_TOKEN_STEP = 24 * 3_600_000
 
 
 class WorkerLease:
@@ -28,6 +29,7 @@
         self.failing_since = None
         self.refused = False
         self._answered_token = 0
+        self._token_step = 1
         self._last_answer_at = 0.0
         self._clock_base = None
 
@@ -74,6 +76,14 @@
         """Raise the token of later commands to at least `minimum`."""
         self.fencing_token = max(self.fencing_token, minimum)
 
+    def raise_refused_token(self, minimum):
+        """Raise a token that the worker refused, each time by twice as much.
+
+        A former process may have used tokens of a boot whose clock was far ahead.
+        """
+        self.raise_token(max(minimum, self.fencing_token + self._token_step))
+        self._token_step = min(2 * self._token_step, MAX_TOKEN_STEP)
+
     def give(self, expires_at):
         """Give a lease; return when it expires, in ms of the worker's clock."""
         self.expires_at = max(self.expires_at, expires_at)
@@ -83,6 +93,7 @@
     def on_contact(self, fencing_token, now):
         """Record that the worker answered a call with a token."""
         self._answered_token = max(self._answered_token, fencing_token)
+        self._token_step = 1
         self._last_answer_at = now
         self.failing_since = None
         self.refused = False
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -351,6 +351,20 @@
         assert agent.on_fenced(request, 300) == []
         assert agent.build_snapshot_request(10.2).fencing_token == raised
 
+    def test_the_tokens_of_a_boot_whose_clock_was_an_hour_ahead_are_soon_exceeded(self):
+        seen = 3_600_000
+        agent = LeasedRunner(RestartSettings(lease_ms=900))
+        agent.on_report(REPORT, 10.0)
+        for attempt in range(64):
+            request = agent.build_snapshot_request(10.0 + attempt / 1000)
+            if request.fencing_token > seen:
+                break
+            assert agent.on_fenced(request, 200 + attempt) == [RequestSnapshot()]
+        assert seen < request.fencing_token < 3 * seen
+        for now in (10.1, 10.2):
+            look(agent, WorkerSnapshot(300, 1, (), ()), now)
+        assert agent.accepting
+
 
 class TestNewProcess:
     """A new process of an agent finds what the former one started."""
