Keep the boot in the store that runs, not the one that reported last

A delayed report of a former boot replaced that of the boot that runs in the store, so that the next process of the agent began with a boot that had ended: it neither looked at its worker nor fenced former commands before the worker's next report. While old and new reports came by turns, each change was a write.

The runner says which boot it uses (StoreBoot), and only that one's report is written. A write that is tried again ends once a later boot is stored.

test_a_delayed_report_does_not_replace_the_boot_in_the_store fails with a write of each first report, as before: the store has the delayed one.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -31,6 +31,7 @@
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    StoreBoot,
 )
 from ragwortlug.jobs.worker_lease import WorkerLease
 from ragwortlug.lease_messages import Progress, Renewal, RunsEnded
@@ -181,6 +182,8 @@
             "open_runs": len(self._runs),
             "recalled": recalled,
         }
+        if not recalled:
+            effects.append(StoreBoot(report.boot_id))
         return [*effects, Event(EventName.WORKER_BOOT, "", fields), RequestSnapshot()]
 
     def on_departed(self, worker_id, booted_at_ms):
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -171,6 +171,13 @@
     request: SnapshotRequest
 
 
+@dataclass(frozen=True, slots=True)
+class StoreBoot:
+    """An effect: store a boot's report for the next process of the agent."""
+
+    boot: tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRenewals:
     """An effect: request a renewal from every dispatcher now."""
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -20,6 +20,7 @@
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    StoreBoot,
     WorkerClock,
     WorkerReport,
     WorkerSnapshot,
@@ -150,6 +151,7 @@
         self._journal = journal
         self._snapshot_task = None
         self._has_runs = asyncio.Event()
+        self._store_boot = lambda boot_id: None
         decisions = {
             Renewed: self._on_renewed,
             StartRuns: runner.on_start_runs,
@@ -196,6 +198,10 @@
         """Add addresses of possible dispatchers, without the invalid ones."""
         self._dispatchers.add_addresses(filter(is_address, addresses))
 
+    def on_boot(self, store):
+        """Call `store` with the id of each boot of the worker that is used."""
+        self._store_boot = store
+
     @property
     def last_renewal_at(self):
         """Return the monotonic seconds of the latest renewal, or 0."""
@@ -277,6 +283,8 @@
                 self._spawn_call(self._request_snapshot(0))
             elif isinstance(effect, AskBoot):
                 self._spawn_call(self._ask(effect.report, effect.request, 0))
+            elif isinstance(effect, StoreBoot):
+                self._store_boot(effect.boot)
             elif isinstance(effect, RequestRenewals):
                 now = self._timer.monotonic()
                 for address in self._dispatchers.selected(now):
--- a/ragwortlug/platform/compose_agent.py
+++ b/ragwortlug/platform/compose_agent.py
@@ -31,6 +31,7 @@
     record = kernel.register(
         "record", WorkerRecord(store, actor, settings.address, timer)
     )
+    actor.on_boot(record.store_boot)
     server = server_at(settings.http)
     WorkerRoutes(server, lambda message: actor.post(None, message), record)
     kernel.register("http", server)
--- a/ragwortlug/platform/records.py
+++ b/ragwortlug/platform/records.py
@@ -24,6 +24,7 @@
 RETRY_INTERVAL_S = 1.0
 ENTRY_SILENCE_S = 2.0
 MAX_WRITE_ATTEMPTS = 5
+MAX_BOOTS = 8
 
 log = logger("records")
 once_log = OnceLogger(log)
@@ -112,7 +113,9 @@
         self._runner = runner
         self._key = WORKER_PREFIX + address
         self._timer = timer
-        self._boot_id = None
+        # The latest report of each boot that reported lately, and its bytes.
+        self._reports = {}
+        self._stored_boot_id = None
         self._tasks = []
 
     async def start(self):
@@ -126,18 +129,30 @@
         """Cancel all reads and writes."""
         await cancel_all(self._tasks)
 
-    def save_first_report(self, report, raw):
-        """Store a worker's report if it is the first of its boot."""
-        if report.boot_id == self._boot_id:
+    def add_report(self, report, raw):
+        """Keep a worker's report, to be stored if its boot is used."""
+        self._reports.pop(report.boot_id, None)
+        self._reports[report.boot_id] = (report, raw)
+        while len(self._reports) > MAX_BOOTS:
+            del self._reports[next(iter(self._reports))]
+
+    def store_boot(self, boot_id):
+        """Store the latest report of a boot that runs."""
+        if boot_id not in self._reports:
             return
-        self._boot_id = report.boot_id
+        self._stored_boot_id = boot_id
         self._tasks = [task for task in self._tasks if not task.done()]
-        self._tasks.append(asyncio.create_task(self._write(report, raw)))
+        self._tasks.append(asyncio.create_task(self._write(*self._reports[boot_id])))
 
     async def _write(self, report, raw):
-        """Write a report; make up to `MAX_WRITE_ATTEMPTS` attempts."""
+        """Write a report; make up to `MAX_WRITE_ATTEMPTS` attempts.
+
+        None is made after a later boot has been stored.
+        """
         value = msgspec.json.encode({"id": report.id, "report": msgspec.Raw(raw)})
         for _ in range(MAX_WRITE_ATTEMPTS):
+            if report.boot_id != self._stored_boot_id:
+                return
             try:
                 await self._store.put(self._key, value)
             except StoreError as error:
@@ -150,7 +165,7 @@
         """Post the report that an earlier process stored to the runner."""
         try:
             value = await self._store.value(self._key)
-            if value is not None and self._boot_id is None:
+            if value is not None and self._stored_boot_id is None:
                 self._runner.post(None, RecalledReport(wire.recalled_of(value)))
         except (StoreError, RequestError, msgspec.DecodeError) as error:
             log.info("Failed to read the worker's record: {}.", error)
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -44,7 +44,7 @@
     post : callable
         Called with each `WorkerReport` and `WorkerDeparted`.
     record : WorkerRecord
-        Stores the first report of each boot.
+        Stores a report of each boot that is used.
     """
 
     def __init__(self, server, post, record):
@@ -68,8 +68,8 @@
                 "Failed to decode a status report of worker {}: {}.", worker_id, error
             )
             raise
+        self._record.add_report(report, raw)
         self._post(report)
-        self._record.save_first_report(report, raw)
         return json_response({})
 
     async def _on_departure(self, request):
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -15,6 +15,7 @@
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    StoreBoot,
     WorkerClock,
 )
 from ragwortlug.lease_messages import (
@@ -98,13 +99,10 @@
             )
 
     def report(self, boot):
-        """Get a report of the worker, and store the first one of its boot."""
+        """Get a report of the worker."""
         if boot != self.boots or not self.alive or not self.worker.up:
             return
         report = self.worker.report()
-        stored = self.stored_report
-        if stored is None or stored.boot_id != report.boot_id:
-            self.stored_report = report
         self.run(lambda now: self.runner.on_report(report, now))
 
     def tick(self, boot):
@@ -206,6 +204,8 @@
                 self.stop(effect)
             elif isinstance(effect, RequestSnapshot):
                 self.look(0.0)
+            elif isinstance(effect, StoreBoot):
+                self.stored_report = self.runner.worker
             elif isinstance(effect, AskBoot):
                 self.look(0.0, request=effect.request)
             elif isinstance(effect, RequestRenewals):
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -15,6 +15,7 @@
     RequestSnapshot,
     StartAnswer,
     StartOnWorker,
+    StoreBoot,
     WorkerClock,
     WorkerReport,
     WorkerSnapshot,
@@ -453,6 +454,7 @@
         effects += agent.tick(10.15)
         assert reported_ends(effects) == []
         assert events(effects, EventName.WORKER_BOOT) == []
+        assert not any(isinstance(each, StoreBoot) for each in effects)
         assert agent.running == 1
         assert agent.accepting
 
@@ -482,6 +484,7 @@
         agent = self.agent_with_run(self.BOOTS[:1])
         token = agent.build_snapshot_request(10.02).fencing_token
         effects = replace_boot(agent, self.BOOTS[1], 10.1)
+        assert StoreBoot(self.BOOTS[1].boot_id) in effects
         assert reported_ends(effects) == [(1, RunEnd.LOST)]
         for now in (10.2, 10.3):
             look(agent, WorkerSnapshot(300, 11_000, (), ()), now)
--- a/tests/test_leased_actor.py
+++ b/tests/test_leased_actor.py
@@ -90,6 +90,8 @@
         async def run():
             timer, client = Timer(), BootClient()
             actor = actor_with(client, timer)
+            stored = []
+            actor.on_boot(stored.append)
             current = WorkerReport(
                 "i-1", 1, 1, "s", "10.1.0.2:80", "patan", (), ROOM, 0
             )
@@ -108,6 +110,7 @@
                 await timer.stop()
             assert client.asked == [delayed.boot_id]
             assert actor._runner.worker == current
+            assert stored == [current.boot_id]
 
         asyncio.run(run())
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,18 +1,28 @@
 """The records of entries and workers in the platform's store."""
 
 import asyncio
+import functools
 import json
 
 import logbook
 import pytest
 
 from ragwortlug.errors import StoreError
-from ragwortlug.platform import records
+from ragwortlug.platform import records, wire
 from ragwortlug.platform.records import ENTRY_PREFIX, EntryRecord, WorkerRecord
 from ragwortlug.timer import Timer
 
 LIMIT_S = 20.0
 ADDRESS = "tcp://10.4.0.1:7720"
+REPORT = {
+    "service": "s",
+    "address": "10.1.0.2:80",
+    "zone": "patan",
+    "state": "ready",
+    "capacity": {"cpu": 1000},
+    "clock_ms": 5,
+    "sequence": 1,
+}
 
 
 class FakeStore:
@@ -177,6 +187,26 @@
         asyncio.run(run())
 
 
+class TestWorkerRecord:
+    def test_a_delayed_report_does_not_replace_the_boot_in_the_store(self, short_times):
+        async def run():
+            store = LeasingStore()
+            record = WorkerRecord(store, FakeRunner(), "tcp://10.1.0.1:7720", Timer())
+            report_of = functools.partial(wire.report_of, "i-1")
+            raws = [json.dumps(REPORT | {"born": born}).encode() for born in (7, 9)]
+            runs, delayed = (report_of(raw) for raw in raws)
+            record.add_report(runs, raws[0])
+            record.store_boot(runs.boot_id)
+            record.add_report(delayed, raws[1])
+            record.store_boot(("i-2", 5))
+            await until(record, lambda: store.kept)
+            await asyncio.sleep(0.05)
+            (value,) = store.kept.values()
+            assert wire.recalled_of(value) == runs
+
+        asyncio.run(run())
+
+
 class TestEntries:
     def test_an_agent_reads_all_entries_at_its_start(self):
         async def run():
