--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -9,11 +9,13 @@
 from ragwortlug.jobs.leased import LeasedRunner
 from ragwortlug.jobs.request_answer import RequestAnswer
 from ragwortlug.jobs.worker_calls import (
+    AskBoot,
     RequestRenewals,
     RequestSnapshot,
     StartAnswer,
     StartOnWorker,
     StopOnWorker,
+    StoreBoot,
     WorkerClock,
 )
 from ragwortlug.lease_messages import (
@@ -97,13 +99,10 @@
             )
 
     def report(self, boot):
-        """Get a report of the worker, and store the first one of its boot."""
+        """Get a report of the worker."""
         if boot != self.boots or not self.alive or not self.worker.up:
             return
         report = self.worker.report()
-        stored = self.stored_report
-        if stored is None or stored.boot_id != report.boot_id:
-            self.stored_report = report
         self.run(lambda now: self.runner.on_report(report, now))
 
     def tick(self, boot):
@@ -137,9 +136,9 @@
         else:
             self.play.at(0.005, lambda: self.watch(boot))
 
-    def look(self, wait_s, after=lambda: None):
+    def look(self, wait_s, after=lambda: None, request=None):
         """Look at the worker; the answer waits for an end."""
-        request = self.runner.build_snapshot_request(self.play.now)
+        request = request or self.runner.build_snapshot_request(self.play.now)
         boot = self.boots
         if request is None:
             self.play.at(0.05, after)
@@ -205,6 +204,10 @@
                 self.stop(effect)
             elif isinstance(effect, RequestSnapshot):
                 self.look(0.0)
+            elif isinstance(effect, StoreBoot):
+                self.stored_report = self.runner.worker
+            elif isinstance(effect, AskBoot):
+                self.look(0.0, request=effect.request)
             elif isinstance(effect, RequestRenewals):
                 for home in self.play.homes:
                     self.ask(home)
