Let agents start nothing in a data centre that is evacuated

Entries now tell agents the evacuated data centres with the revision of the orders: with the first renewal after each change, and again every 2 s. An agent keeps the newest and starts and offers nothing while its own data centre is among them. Revisions only rise, so what a cut-off entry repeats changes nothing. The agent tells its entries at once by WorkerState.in_service, so that they assign elsewhere and not into refusals. That is apart from accepting, whose changes count as downtime of workers.

run_refused says whether the data centre is in service, and by which revision; orders_applied of an agent says which entry told it; orders_revision is a metric of agents too.

--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -40,7 +40,7 @@
 from ragwortlug.policy.crash_history import CrashHistory
 from ragwortlug.policy.job_ranking import objective_ms
 from ragwortlug.policy.known_workers import KnownWorkers
-from ragwortlug.restartable_model import Orders, RunEnd
+from ragwortlug.restartable_model import Evacuations, Orders, RunEnd
 
 MS_PER_S = 1000.0
 # Agents of each data centre by way of which a message to a silent entry is sent.
@@ -76,6 +76,7 @@
             self._workers, self._crashes, self._outstanding, self._service_of
         )
         self._orders = Orders()
+        self._evacuations = Evacuations()
         self._assigner = RunAssigner(
             self._workers,
             self._waiting,
@@ -253,7 +254,9 @@
         ):
             self._assigner.request()
         entries = worker.entries_to_send(self._entries, now)
-        effects = [Send(sender, Renewed(message.requested_at_ms, entries))]
+        evacuations = worker.evacuations_to_send(self._evacuations, now)
+        renewed = Renewed(message.requested_at_ms, entries, evacuations)
+        effects = [Send(sender, renewed)]
         effects += events.acceptance_changed(worker, was_accepting)
         if message.worker is None or not message.worker.accepting:
             worker.notified = False
@@ -357,6 +360,7 @@
             before=self.version,
         )
         self._orders = orders
+        self._evacuations = Evacuations(orders.revision, orders.evacuated)
         self._workers.evacuated = frozenset(orders.evacuated)
         applied = events.orders_applied(orders, self.version)
         self._assigner.request()
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -33,7 +33,12 @@
 )
 from ragwortlug.jobs.worker_lease import WorkerLease
 from ragwortlug.lease_messages import Progress, Renewal, RunsEnded
-from ragwortlug.restartable_model import Resources, RunEnd, WorkerState
+from ragwortlug.restartable_model import (
+    Evacuations,
+    Resources,
+    RunEnd,
+    WorkerState,
+)
 
 MS_PER_S = 1000.0
 SNAPSHOT_RETRY_INTERVAL_S = 0.2
@@ -60,7 +65,7 @@
         self._unassigned_runs = set()
         self._permissions = Permissions(settings)
         self._reports = ResourceReports(
-            self._permissions, lambda: self.free_resources, lambda: self.accepting
+            self._permissions, lambda: self.free_resources, lambda: self.may_start
         )
         self._latest_snapshot_requested_at = 0.0
         self._run_ends = RunEnds(self._runs, self._reports.unreserved)
@@ -69,6 +74,7 @@
         # The latest report of a boot that was replaced, and when it was first missed,
         # while it is open which of its runs the later boot has.
         self._replaced_boot = None
+        self._evacuations = Evacuations()
         self.leaving = False
 
     @property
@@ -94,6 +100,24 @@
             and not self._unassigned_runs
         )
 
+    @property
+    def orders_revision(self):
+        """Return the revision of the newest orders that it has learned of, or 0."""
+        return self._evacuations.revision
+
+    @property
+    def in_service(self):
+        """Return whether the newest orders let runs start in the data centre."""
+        return (
+            self._worker is None
+            or self._worker.data_centre not in self._evacuations.data_centres
+        )
+
+    @property
+    def may_start(self):
+        """Return whether the worker and the operators let new runs start."""
+        return self.accepting and self.in_service
+
     @property
     def free_resources(self):
         """Return the worker's resources that no run uses."""
@@ -447,7 +471,26 @@
         is_new = self._permissions.expires_at(sender.incarnation) is None
         self._permissions.on_renewed(sender, message.requested_at_ms)
         reports = self._run_ends.crash_reports(now) if is_new else ()
-        return [Send(sender, report) for report in reports]
+        effects = self._update_evacuations(sender, message.evacuations)
+        return [*effects, *(Send(sender, report) for report in reports)]
+
+    def _update_evacuations(self, sender, evacuations):
+        """Apply evacuations if they are newer; inform the dispatchers of a change.
+
+        A dispatcher that is cut off from the store and the others repeats old ones.
+        """
+        if evacuations is None or evacuations.revision <= self.orders_revision:
+            return []
+        previous, was_in_service = self._evacuations, self.in_service
+        self._evacuations = evacuations
+        if evacuations.data_centres == previous.data_centres:
+            return []
+        fields = {"revision": evacuations.revision, "dispatcher": sender.address}
+        fields["evacuated"] = evacuations.data_centres
+        applied = Event(EventName.ORDERS_APPLIED, "", fields)
+        if self.in_service == was_in_service:
+            return [applied]
+        return [applied, *self._request_renewals()]
 
     def on_start_runs(self, sender, message, now):
         """Start the runs that are permitted and fit; report the others as ended."""
@@ -469,6 +512,10 @@
                 self._run_ends.refuse(key, end)
                 fields = {"number": run.number, "end": end.value}
                 fields |= {"permitted": permitted, "accepting": self.accepting}
+                fields |= {
+                    "in_service": self.in_service,
+                    "revision": self.orders_revision,
+                }
                 fields |= {
                     "free_mc": self.free_resources.cpu,
                     "dispatcher": sender.address,
@@ -491,7 +538,7 @@
             # runs again at once.
             free_resources = (
                 self._reports.unreserved()
-                if permitted and self.accepting
+                if permitted and self.may_start
                 else Resources()
             )
             effects.append(Send(sender, RunsEnded(tuple(refused), free_resources)))
@@ -560,6 +607,7 @@
             report.capacity,
             self._reports.unreserved(),
             self.accepting,
+            self.in_service,
         )
 
     def tick(self, now):
@@ -602,7 +650,7 @@
 
     def _refusal_end(self, sender, key, run, permitted):
         """Return the end to report for a run that must not start, or None."""
-        if not permitted or not self.accepting:
+        if not permitted or not self.may_start:
             return RunEnd.NO_RESOURCES
         if key in self._run_ends:
             return RunEnd.NOT_STARTED
--- a/ragwortlug/jobs/run_assigner.py
+++ b/ragwortlug/jobs/run_assigner.py
@@ -78,7 +78,7 @@
         """
         worker.notified = False
         service = worker.state.service
-        in_service = worker.state.data_centre not in self._workers.evacuated
+        in_service = self._workers.is_in_service(worker)
         slots = worker.health.usable_slots(open_jobs + 1, now)
         ranked = self._waiting_jobs.ranked(service, now) if in_service and slots else []
         free_resources = offer.free_resources
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -6,6 +6,7 @@
 from ragwortlug.envelope import Codec, Message, Peer, Rejected
 from ragwortlug.restartable_model import (
     CrashedRun,
+    Evacuations,
     Orders,
     Rank,
     Resources,
@@ -33,11 +34,13 @@
 class Renewed(Message):
     """Renews a permission from the time `requested_at_ms` of the agent's clock.
 
-    `entries` are the addresses of all entries known to the dispatcher.
+    `entries` are the addresses of all entries known to the dispatcher, and
+    `evacuations` those of the newest orders that it knows. Neither is in each renewal.
     """
 
     requested_at_ms: int
     entries: tuple[str, ...] = ()
+    evacuations: Evacuations | None = None
 
 
 class StartRuns(Message):
--- a/ragwortlug/leased_actor.py
+++ b/ragwortlug/leased_actor.py
@@ -185,6 +185,7 @@
             self._register_event(event_type, decide)
         metrics.gauge("running_tasks", lambda: runner.running)
         metrics.gauge("free_millicores", lambda: runner.free_resources.cpu)
+        metrics.gauge("orders_revision", lambda: runner.orders_revision)
 
     @property
     def idle(self):
--- a/ragwortlug/policy/known_workers.py
+++ b/ragwortlug/policy/known_workers.py
@@ -31,11 +31,35 @@
 IN_FLIGHT_S = 0.006
 # An assignment that the agent does not list after this time counts as missing.
 MISSING_AFTER_S = 0.4
-ENTRIES_INTERVAL_S = 2.0
+REPEAT_INTERVAL_S = 2.0
 # Weight of the newest sample in the mean downtime of workers.
 DOWNTIME_WEIGHT = 0.3
 
 
+@dataclass(slots=True)
+class RepeatedValue:
+    """A value that is sent when it has changed, and repeated in case a copy is lost.
+
+    Attributes
+    ----------
+    value : object
+        The value last sent.
+    sent_at : float
+        Monotonic seconds.
+    """
+
+    value: object = None
+    sent_at: float = float("-inf")
+
+    def is_due(self, value, now):
+        """Return whether a value must be sent now, which counts as done."""
+        if self.value == value and now - self.sent_at < REPEAT_INTERVAL_S:
+            return False
+        self.value = value
+        self.sent_at = now
+        return True
+
+
 @dataclass(slots=True)
 class KnownWorker:
     """The state of one agent and its worker, as known to a dispatcher.
@@ -62,8 +86,8 @@
         Whether the agent was notified that work waits, and when it last was.
     round_trip_ms : int
         How long the agent's latest renewal took; 0 if unknown.
-    sent_entries, entries_sent_at : tuple of str, float
-        The addresses of entries last sent to the agent, and when.
+    sent_entries, sent_evacuations : RepeatedValue
+        The addresses of entries and the evacuations last sent to the agent.
     unavailable_since : float or None
         Monotonic seconds at which the worker ceased to accept runs.
     """
@@ -84,8 +108,8 @@
     notified: bool = False
     notified_at: float = 0.0
     round_trip_ms: int = 0
-    sent_entries: tuple = ()
-    entries_sent_at: float = float("-inf")
+    sent_entries: RepeatedValue = field(default_factory=RepeatedValue)
+    sent_evacuations: RepeatedValue = field(default_factory=RepeatedValue)
     unavailable_since: float | None = None
 
     @property
@@ -121,17 +145,12 @@
         self.free_resources = free_resources
 
     def entries_to_send(self, entries, now):
-        """Return the addresses of all entries if they are due to be sent, or ().
+        """Return the addresses of all entries if they are due to be sent, or ()."""
+        return entries if self.sent_entries.is_due(entries, now) else ()
 
-        They are due when they have changed, and every `ENTRIES_INTERVAL_S`, since a
-        message may be lost.
-        """
-        unchanged = self.sent_entries == entries
-        if unchanged and now - self.entries_sent_at < ENTRIES_INTERVAL_S:
-            return ()
-        self.sent_entries = entries
-        self.entries_sent_at = now
-        return entries
+    def evacuations_to_send(self, evacuations, now):
+        """Return the evacuations if they are due to be sent, or None."""
+        return evacuations if self.sent_evacuations.is_due(evacuations, now) else None
 
     def missing_assignments(self, numbers, now):
         """Return the outstanding assignments that are missing in the agent's list.
@@ -234,8 +253,14 @@
             worker.unavailable_since = None
 
     def is_in_service(self, worker):
-        """Return whether the operators let runs start in the worker's data centre."""
-        return worker.state is None or worker.state.data_centre not in self.evacuated
+        """Return whether the operators let runs start in the worker's data centre.
+
+        Its agent may know of an evacuation that this dispatcher has not learned of.
+        """
+        state = worker.state
+        return state is None or (
+            state.in_service and state.data_centre not in self.evacuated
+        )
 
     def remove_expired(self, now):
         """Remove the workers whose permissions must have expired; return them.
@@ -279,7 +304,7 @@
             for worker in self._workers.values()
             if worker.accepting
             and worker.state.service == service
-            and worker.state.data_centre not in self.evacuated
+            and self.is_in_service(worker)
             and self._is_recently_contacted(worker, now)
         ]
 
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -168,6 +168,13 @@
     evacuated: tuple[str, ...] = ()
 
 
+class Evacuations(msgspec.Struct, frozen=True, array_like=True):
+    """The evacuated data centres at one revision of the operators' orders."""
+
+    revision: int = 0
+    data_centres: tuple[str, ...] = ()
+
+
 class WorkerState(msgspec.Struct, frozen=True, array_like=True):
     """The state of a worker, as reported by its agent.
 
@@ -181,6 +188,9 @@
         Its total and its unused resources.
     accepting : bool
         Whether it accepts new runs.
+    in_service : bool
+        Whether the operators let runs start in its data centre, as far as the agent
+        knows.
     """
 
     service: str
@@ -189,6 +199,7 @@
     capacity: Resources
     free_resources: Resources
     accepting: bool
+    in_service: bool = True
 
 
 class Run(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -29,7 +29,7 @@
 class FakeWorker:
     """A worker: leases, fencing tokens, lists; it guards no room."""
 
-    def __init__(self, play, name, room, speed=1.0, drift=1.0):
+    def __init__(self, play, name, room, speed=1.0, drift=1.0, data_centre="patan"):
         self.play = play
         self.name = name
         self.room = room
@@ -37,6 +37,7 @@
         self.limit = room
         self.speed = speed
         self.drift = drift
+        self.data_centre = data_centre
         self.born = play.now
         self.boots = 0
         self.up = True
@@ -76,7 +77,7 @@
             next(self.play.counter),
             SERVICE,
             "10.0.0.1:1",
-            "patan",
+            self.data_centre,
             (),
             self.room,
             self.clock_ms(),
--- a/tests/play.py
+++ b/tests/play.py
@@ -85,11 +85,14 @@
     ----------
     work_s : callable
         Returns the work of a run in seconds at speed 1.
+    data_centres : tuple of str
+        Where the workers are, by turns.
     """
 
     seed: int = 0
     faults: Faults = field(default_factory=Faults)
     settings: RestartSettings = field(default_factory=RestartSettings)
+    data_centres: tuple[str, ...] = ("patan",)
 
     def __post_init__(self):
         self.now = 0.0
@@ -114,6 +117,8 @@
         # Moments at which a task has crashed a worker, by task.
         self.crashes = {}
         self.ran = set()
+        # The moment and the data centre of each start of a run.
+        self.starts = []
         self.broken = []
         self._heap = []
         self._waits = {}
@@ -126,7 +131,8 @@
             room = Resources(int(cpu * factor), 131_072, 0)
             drift = 1.0 - 0.02 * (each % 2)
             speed = speeds[each % len(speeds)]
-            worker = FakeWorker(self, f"worker-{each}", room, speed, drift)
+            where = self.data_centres[each % len(self.data_centres)]
+            worker = FakeWorker(self, f"worker-{each}", room, speed, drift, where)
             self.agents.append(FakeAgent(self, f"agent-{each}", worker))
         return self
 
@@ -209,6 +215,7 @@
             if other.up and any(task == key[0] for task, _ in other.running):
                 self.broken.append(f"{self.now:.3f} twice: {key} on {other.name}")
         self.ran.add(key[0][0])
+        self.starts.append((self.now, worker.data_centre))
         used = room
         for each in worker.running.values():
             used = used + each.room
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -5,7 +5,7 @@
 from ragwortlug.envelope import Peer
 from ragwortlug.jobs.dispatchers import ANSWER_TIMEOUT_S, Dispatchers
 from ragwortlug.lease_settings import RestartSettings
-from ragwortlug.policy.known_workers import ENTRIES_INTERVAL_S, KnownWorker
+from ragwortlug.policy.known_workers import REPEAT_INTERVAL_S, KnownWorker
 
 SETTINGS = RestartSettings(dispatchers=3)
 IDLE_S = SETTINGS.idle_renew_ms / 1000.0
@@ -133,4 +133,4 @@
         assert worker.entries_to_send(two, 1.25) == ()
         assert worker.entries_to_send(three, 1.5) == three
         assert worker.entries_to_send(three, 1.75) == ()
-        assert worker.entries_to_send(three, 1.5 + ENTRIES_INTERVAL_S) == three
+        assert worker.entries_to_send(three, 1.5 + REPEAT_INTERVAL_S) == three
