Send callers elsewhere while all workers in reach are evacuated

An entry that is cut off with an evacuated data centre reaches no worker that may start anything, now that agents keep evacuations.

Such an entry is not ready and ends its connections with their next answer, as one that sheds load does, until a worker in service is in contact. Without any worker in contact nothing changes: that says nothing of other entries. all_evacuated and workers_back say when it begins and ends.

--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -78,6 +78,7 @@
         self._waiting = {}
         self._journal = journal
         self._load_shedder = LoadShedder(TICK_S)
+        self._all_evacuated = False
         decisions = {
             Renewal: dispatcher.on_renewal,
             RunsEnded: dispatcher.on_runs_ended,
@@ -110,8 +111,12 @@
 
     @property
     def saturated(self):
-        """Return whether callers should use another entry."""
-        return self._load_shedder.saturated
+        """Return whether callers should use another entry.
+
+        This one takes more jobs than it can handle, or reaches no worker that may
+        start any.
+        """
+        return self._load_shedder.saturated or self._all_evacuated
 
     @property
     def isolated(self):
@@ -237,6 +242,17 @@
         gossip = self._gossip
         self._dispatcher.set_entries(gossip.entries, own_address, gossip.addresses)
         self._perform(self._dispatcher.tick(now))
+        self._update_evacuated(now)
+
+    def _update_evacuated(self, now):
+        """Check whether any worker may start runs; write an event of a change."""
+        was_evacuated = self._all_evacuated
+        self._all_evacuated = self._dispatcher.workers.all_evacuated(now)
+        if self._all_evacuated != was_evacuated:
+            evacuated = self._all_evacuated
+            name = EventName.ALL_EVACUATED if evacuated else EventName.WORKERS_BACK
+            fields = {"revision": self._dispatcher.orders.revision}
+            self._journal.write_event(name, jobs=self._dispatcher.open_jobs, **fields)
 
     def _write_limit_change(self, previous_limit):
         """Write an event when load shedding starts or stops limiting admission."""
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -90,6 +90,14 @@
         "An entry lost contact with all others and gives up its jobs.",
     )
     REJOINED = "rejoined", "An isolated entry is in contact again."
+    ALL_EVACUATED = (
+        "all_evacuated",
+        "All workers that an entry reaches are in evacuated data centres.",
+    )
+    WORKERS_BACK = (
+        "workers_back",
+        "An entry no longer reaches only workers in evacuated data centres.",
+    )
     ORDERS_APPLIED = "orders_applied", "Newer orders from operators are in force here."
     ORDERS_REFUSED = "orders_refused", "Orders would revert the configuration."
     STORE_LOST = "store_lost", "The platform's store does not answer."
--- a/ragwortlug/policy/known_workers.py
+++ b/ragwortlug/policy/known_workers.py
@@ -262,6 +262,18 @@
             state.in_service and state.data_centre not in self.evacuated
         )
 
+    def all_evacuated(self, now):
+        """Return whether the workers in contact are all where no run may start.
+
+        False if no worker is in contact.
+        """
+        in_contact = [
+            worker
+            for worker in self._workers.values()
+            if worker.state is not None and self._is_recently_contacted(worker, now)
+        ]
+        return bool(in_contact) and not any(map(self.is_in_service, in_contact))
+
     def remove_expired(self, now):
         """Remove the workers whose permissions must have expired; return them.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -190,6 +190,15 @@
         assert evacuations[:2] == [EVACUATED, None]
         assert evacuations.count(EVACUATED) == 2
 
+    def test_only_evacuated_workers_in_contact_are_told_from_none(self):
+        dispatcher = Dispatcher(RestartSettings(), random.Random(1))
+        assert not dispatcher.workers.all_evacuated(10.0)
+        self.renew(dispatcher, 10.0, in_service=False)
+        assert dispatcher.workers.all_evacuated(10.1)
+        assert not dispatcher.workers.all_evacuated(11.0)
+        self.renew(dispatcher, 11.0, in_service=True)
+        assert not dispatcher.workers.all_evacuated(11.0)
+
     @pytest.mark.parametrize("in_service", [True, False])
     def test_nothing_is_assigned_where_the_agent_knows_of_an_evacuation(
         self, in_service
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -562,6 +562,18 @@
 class TestOperations:
     """Readiness, counts, and the story of a job."""
 
+    def test_not_ready_with_workers_in_evacuated_data_centres_only(self, on_site):
+        async def scenario(site):
+            actor = site.entries[0].find("dispatcher")
+            await site.store.put("op/evacuate/patan", b"{}")
+            await site.until(lambda: actor.saturated)
+            assert await site.get(site.ready_url(0)) == 503
+            await site.store.remove("op/evacuate/patan")
+            await site.until(lambda: not actor.saturated)
+            assert await site.get(site.ready_url(0)) == 200
+
+        on_site(scenario)
+
     def test_ready_only_with_a_configuration(self, on_site):
         async def scenario(site):
             assert await site.get(site.ready_url(0)) == 200
