--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -16,6 +16,7 @@
     AttachRequest,
     CancelJob,
     DetachRequest,
+    EntryState,
     Offer,
     OpenJobs,
     Progress,
@@ -79,6 +80,7 @@
         self._waiting = {}
         self._journal = journal
         self._load_shedder = LoadShedder(TICK_S)
+        self._all_evacuated = False
         decisions = {
             Renewal: dispatcher.on_renewal,
             RunsEnded: dispatcher.on_runs_ended,
@@ -111,8 +113,12 @@
 
     @property
     def saturated(self):
-        """Return whether callers should use another entry."""
-        return self._load_shedder.saturated
+        """Return whether callers should use another entry.
+
+        This one takes more jobs than it can handle, or reaches no worker that may
+        start any.
+        """
+        return self._load_shedder.saturated or self._all_evacuated
 
     @property
     def isolated(self):
@@ -127,6 +133,7 @@
         """Start handling messages and periodic ticks."""
         await super().start()
         self._gossip.changes.subscribe(lambda orders: self.post(None, orders))
+        self._gossip.sent_states.subscribe(self._relay)
         self._timer.every(TICK_S, lambda: self.post(None, Tick()))
 
     async def run(self, job, queue, limit_s, unread_s, has_left):
@@ -241,6 +248,17 @@
         gossip = self._gossip
         self._dispatcher.set_entries(gossip.entries, own_address, gossip.addresses)
         self._perform(self._dispatcher.tick(now))
+        self._update_evacuated(now)
+
+    def _update_evacuated(self, now):
+        """Check whether any worker may start runs; write an event of a change."""
+        was_evacuated = self._all_evacuated
+        self._all_evacuated = self._dispatcher.workers.all_evacuated(now)
+        if self._all_evacuated != was_evacuated:
+            evacuated = self._all_evacuated
+            name = EventName.ALL_EVACUATED if evacuated else EventName.WORKERS_BACK
+            fields = {"revision": self._dispatcher.orders.revision}
+            self._journal.write_event(name, jobs=self._dispatcher.open_jobs, **fields)
 
     def _write_limit_change(self, previous_limit):
         """Write an event when load shedding starts or stops limiting admission."""
@@ -259,11 +277,18 @@
         """Pass on a message by way of an agent, unless it is for another process."""
         if not message.is_for(self._peers.own_peer):
             return []
+        if isinstance(message.body, EntryState):
+            self._gossip.on_relayed_state(message.origin, message.body)
+            return []
         return self._dispatcher.on_relayed(sender, message, now)
 
     def _send(self, message):
         """Send a message, by way of agents too if its receiver may not get it."""
         self._peers.send(message.receiver, message.body)
+        self._relay(message)
+
+    def _relay(self, message):
+        """Send a message by way of agents if its receiver may not get it directly."""
         own_peer, now = self._peers.own_peer, self._timer.monotonic()
         for relay in self._dispatcher.relays(message, own_peer, now):
             self._peers.send(relay.receiver, relay.body)
