Don't tell the caller of a cancelled job that nothing ran

Callers whose jobs were cancelled after tasks had begun got 409 with code 130, "not run", "The work was cancelled before its start."

Cause: Dispatcher.delete ended every job with CANCELLED, and NOT_RUN_TRUE, the invariant that refusals are true, made an exception for that code.

Such a job ends with code 205 now, CANCELLED_AFTER_START; 130 stays for those of which no task was ordered. The invariant has no exception any more. Both are logged as job_cancelled instead of job_refused, so that they don't count in the histogram of refusals.

Changed test: test_a_cancellation_of_another_entry_stops_the_runs expected code 130 for a job whose run is stopped by the cancel; it expects 205. It fails on the code before.

--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -116,6 +116,13 @@
     LEASE_ENDED = 203, Verdict.FAILED, 504, "The task outlived its lease."
     RESULT_DROPPED = 204, Verdict.FAILED, 410, "The job ended; its result was dropped."
 
+    CANCELLED_AFTER_START = (
+        205,
+        Verdict.FAILED,
+        409,
+        "The job was cancelled after tasks of it may have started.",
+    )
+
     # It can't be determined whether the work ran.
     OUTCOME_UNKNOWN = 300, Verdict.UNKNOWN, 504, "The outcome is unknown."
     HOME_LOST = 301, Verdict.UNKNOWN, 503, "The job's home is lost."
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -40,6 +40,7 @@
     JOB_REFUSED = "job_refused", "A job was refused; none of its tasks has run."
     JOB_DONE = "job_done", "All tasks of a job succeeded."
     JOB_FAILED = "job_failed", "A task failed or crashed workers too often."
+    JOB_CANCELLED = "job_cancelled", "An open job was cancelled by a caller."
     JOB_GIVEN_UP = "job_given_up", "A started job will not end in time."
     JOB_ABANDONED = "job_abandoned", "No request waits for a job any longer."
 
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -220,6 +220,8 @@
         return EventName.JOB_DONE
     if code is Code.JOB_FAILED:
         return EventName.JOB_FAILED
+    if code in (Code.CANCELLED, Code.CANCELLED_AFTER_START):
+        return EventName.JOB_CANCELLED
     refused = code.verdict is Verdict.NOT_RUN
     return EventName.JOB_REFUSED if refused else EventName.JOB_GIVEN_UP
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -234,7 +234,8 @@
         if record is None:
             return self._shared_jobs.cancel_elsewhere(job_id, now)
         self._assigner.request()
-        return self._finish_job(record, Code.CANCELLED, now) + self._dispatch(now)
+        code = Code.CANCELLED_AFTER_START if record.begun else Code.CANCELLED
+        return self._finish_job(record, code, now) + self._dispatch(now)
 
     # Messages of agents.
 
@@ -481,10 +482,7 @@
             check(Invariant.ANSWER_WHOLE, record.done, id=record.job.id)
             self._crashes.on_job_done(record.queue.name)
         if code.verdict is Verdict.NOT_RUN:
-            check(
-                Invariant.NOT_RUN_TRUE,
-                not record.begun or code is Code.CANCELLED,
-            )
+            check(Invariant.NOT_RUN_TRUE, not record.begun, id=record.job.id)
         if retry_after_s is None:
             retry_after_s = default_retry_after_s(code)
         self._refusals.on_job_ended(record, code, now)
--- a/tests/test_shared_jobs.py
+++ b/tests/test_shared_jobs.py
@@ -240,7 +240,9 @@
     def test_a_cancellation_of_another_entry_stops_the_runs(self, entry):
         entry.submit("r1", JOB, QUEUE, 19.0, 10.0)
         effects = entry.on_cancel_job(OTHER, CancelJob(JOB.id), 10.5)
-        assert answers(effects) == [RequestAnswer("r1", JOB.id, Code.CANCELLED)]
+        assert answers(effects) == [
+            RequestAnswer("r1", JOB.id, Code.CANCELLED_AFTER_START)
+        ]
         assert len(bodies(effects, StopRuns)) == 1
         assert entry.on_cancel_job(OTHER, CancelJob(JOB.id), 10.6) == []
 
