Keep cancels, and repeat them to every entry until it has them

Cause: a cancel was an event, not a state. An entry that didn't have the job passed the cancel on once, to the entry that had announced the job, or answered 410 if none had; no entry remembered it. 410 was taken from the absence of the job here, which says nothing of jobs that others have or that are still unread.

Cancels keeps each cancel for 60 s, the longest time limit of a job. It is applied to the open job, to later requests, to attached ones and before a job is reclaimed, and is repeated to each other entry, by way of agents too, until it acknowledges. A new process is told all, and an entry that announces a cancelled job is told again. 200 means that the cancel is kept; 503 with code 311 that it isn't confirmed; 410 remains for ids that no job can have.

Why it works: whatever an entry has, gets or takes over passes a check of the cancels it keeps, so that only the delivery matters, and that doesn't depend on knowing the job's entry.

Changed tests: CancelJob is replaced by CancelJobs, which has several jobs and the time to keep them, in tests/test_shared_jobs.py, tests/test_entry_routes.py and tests/fake_processes.py. A cancel now goes to the other entry's address, whatever process is there; the second receipt of a cancel, which returned nothing, must now return exactly the acknowledgement.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import asyncio
 import sys
 
-from bench import control, dispatch, force, path, processes, scenarios, slopes
+from bench import cancels, control, dispatch, force, path, processes, scenarios, slopes
 
 
 async def _slopes(_parsed):
@@ -15,9 +15,14 @@
     dispatch.measure_dispatch()
 
 
+async def _cancels(_parsed):
+    cancels.measure()
+
+
 async def _all(parsed):
     slopes.measure()
     dispatch.measure_dispatch()
+    cancels.measure()
     await force.measure()
     await path.measure(parsed.seed)
     await control.measure()
@@ -40,6 +45,8 @@
     command.set_defaults(run=_slopes)
     command = commands.add_parser("dispatch", help=dispatch.__doc__)
     command.set_defaults(run=_dispatch)
+    command = commands.add_parser("cancels", help=cancels.__doc__)
+    command.set_defaults(run=_cancels)
     command = commands.add_parser("scenarios", help=scenarios.__doc__)
     command.add_argument("--seed", type=int, default=1)
     command.add_argument("--deployment", action="append")
--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -139,6 +139,18 @@
         "The id's birth is in the future; its home may still change.",
     )
     REPLY_LOST = 308, Verdict.UNKNOWN, 504, "The target's reply was lost."
+    CANCELLED_BEFORE = (
+        310,
+        Verdict.UNKNOWN,
+        409,
+        "The job was cancelled before this request; nothing more of it starts.",
+    )
+    CANCEL_UNCONFIRMED = (
+        311,
+        Verdict.UNKNOWN,
+        503,
+        "The entry can't confirm that the cancel holds; cancel again.",
+    )
 
     # Operators' results.
     NOTE_CONFLICT = 400, Verdict.NOT_RUN, 409, "Another note was accepted first."
--- a/ragwortlug/dispatcher_actor.py
+++ b/ragwortlug/dispatcher_actor.py
@@ -13,7 +13,8 @@
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
     AttachRequest,
-    CancelJob,
+    CancelJobs,
+    CancelsReceived,
     DetachRequest,
     Offer,
     OpenJobs,
@@ -89,7 +90,8 @@
             RequestAttached: dispatcher.shared_jobs.on_request_attached,
             AttachedRequestEnded: dispatcher.shared_jobs.on_attached_request_ended,
             DetachRequest: dispatcher.on_detach_request,
-            CancelJob: dispatcher.on_cancel_job,
+            CancelJobs: dispatcher.on_cancel_jobs,
+            CancelsReceived: dispatcher.shared_jobs.cancels.on_cancels_received,
             Relayed: self._on_relayed,
         }
         for message_type, decide in decisions.items():
@@ -101,6 +103,9 @@
         metrics.gauge("open_jobs", lambda: dispatcher.open_jobs)
         metrics.gauge("running_tasks", lambda: dispatcher.running_tasks)
         metrics.gauge("late_seconds", lambda: self._load_shedder.lag_s)
+        cancels = dispatcher.shared_jobs.cancels
+        metrics.gauge("cancels_kept", lambda: len(cancels))
+        metrics.gauge("cancels_unacknowledged", lambda: cancels.unacknowledged)
         metrics.gauge("workers_known", lambda: len(list(dispatcher.workers)))
 
     @property
@@ -172,10 +177,10 @@
         return answer
 
     def delete(self, job_id):
-        """Cancel a job; return whether this dispatcher has it."""
-        effects = self._dispatcher.delete(job_id, self._timer.monotonic())
-        self._perform(effects or ())
-        return effects is not None
+        """Cancel a job; return whether the cancel is confirmed to hold everywhere."""
+        now = self._timer.monotonic()
+        self._perform(self._dispatcher.delete(job_id, now))
+        return self._dispatcher.confirms_cancel(job_id, now)
 
     def _admit(self, job):
         """Return whether the load on the processor allows accepting a job.
--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -40,10 +40,32 @@
     JOB_REFUSED = "job_refused", "A job was refused; none of its tasks has run."
     JOB_DONE = "job_done", "All tasks of a job succeeded."
     JOB_FAILED = "job_failed", "A task failed or crashed workers too often."
-    JOB_CANCELLED = "job_cancelled", "An open job was cancelled by a caller."
+    JOB_CANCELLED = (
+        "job_cancelled",
+        "A caller cancelled a job, before or after this request.",
+    )
     JOB_GIVEN_UP = "job_given_up", "A started job will not end in time."
     JOB_ABANDONED = "job_abandoned", "No request waits for a job any longer."
 
+    CANCEL_REQUESTED = "cancel_requested", "A caller cancelled a job at this entry."
+    CANCEL_RECEIVED = "cancel_received", "Another entry's cancel ends an open job."
+    CANCELS_NOT_KEPT = (
+        "cancels_not_kept",
+        "An entry keeps too many cancels to keep those of another one.",
+    )
+    CANCELS_RECEIVED_LATE = (
+        "cancels_received_late",
+        "An entry acknowledged cancels that had to be repeated or are older than it.",
+    )
+    CANCELS_UNACKNOWLEDGED = (
+        "cancels_unacknowledged",
+        "Cancels expired that an entry never acknowledged.",
+    )
+    CANCELLED_JOB_ANNOUNCED = (
+        "cancelled_job_announced",
+        "An entry announced a job that was cancelled, and is told again.",
+    )
+
     RUNS_ORDERED = "runs_ordered", "Tasks of a job were sent to agents."
     RUN_FAILED = "run_failed", "A run ended without success."
     RUN_MOVED = "run_moved", "A late run is stopped and retried elsewhere."
@@ -103,6 +125,7 @@
     EventName.JOB_ACCEPTED,
     EventName.JOB_DONE,
     EventName.RUNS_ORDERED,
+    EventName.CANCEL_REQUESTED,
 }
 
 
--- a/ragwortlug/jobs/dispatch_events.py
+++ b/ragwortlug/jobs/dispatch_events.py
@@ -97,6 +97,71 @@
     return Event(EventName.JOB_FAILED, job_id, fields)
 
 
+def job_cancelled_before(job_id):
+    """Return the event of a request for a job that was cancelled before."""
+    fields = {"code": Code.CANCELLED_BEFORE.name, "elapsed_ms": 0}
+    return Event(EventName.JOB_CANCELLED, job_id, fields)
+
+
+def cancel_requested(job_id, record, owner, is_kept, kept):
+    """Return the event of a caller's cancel.
+
+    Parameters
+    ----------
+    record : RestartableRecord or None
+        The job, if it is open here.
+    owner : str
+        Address of the entry that has announced the job; empty if none has.
+    is_kept : bool
+        Whether the cancel is kept for entries that don't have the job yet.
+    kept : int
+        Number of cancels that are kept here.
+    """
+    fields = {
+        "open": record is not None,
+        "begun": record is not None and record.begun,
+        "owner": owner,
+        "is_kept": is_kept,
+        "kept": kept,
+    }
+    return Event(EventName.CANCEL_REQUESTED, job_id, fields)
+
+
+def cancel_received(record, sender, now):
+    """Return the event of another entry's cancel of an open job."""
+    fields = {
+        "entry": sender.address,
+        "elapsed_ms": whole_ms(now - record.arrived),
+        "begun": record.begun,
+    }
+    return Event(EventName.CANCEL_RECEIVED, record.job.id, fields)
+
+
+def cancels_not_kept(sender, missing, kept):
+    """Return the event of cancels of another entry for which there is no capacity."""
+    fields = {"entry": sender.address, "cancels": missing, "kept": kept}
+    return Event(EventName.CANCELS_NOT_KEPT, "", fields)
+
+
+def cancels_received_late(sender, cancels, oldest_s):
+    """Return the event of cancels that another entry has acknowledged late."""
+    fields = {"entry": sender.address, "cancels": cancels}
+    fields |= {"oldest_ms": whole_ms(oldest_s)}
+    return Event(EventName.CANCELS_RECEIVED_LATE, "", fields)
+
+
+def cancels_unacknowledged(address, cancels):
+    """Return the event of expired cancels that an entry never acknowledged."""
+    fields = {"entry": address, "cancels": cancels}
+    return Event(EventName.CANCELS_UNACKNOWLEDGED, "", fields)
+
+
+def cancelled_job_announced(job_id, sender, age_ms):
+    """Return the event of a cancelled job that another entry has open."""
+    fields = {"entry": sender.address, "age_ms": age_ms}
+    return Event(EventName.CANCELLED_JOB_ANNOUNCED, job_id, fields)
+
+
 def runs_assigned(record, assignments, now):
     """Return the event of the assignment of runs of one job to agents.
 
--- a/ragwortlug/jobs/dispatcher.py
+++ b/ragwortlug/jobs/dispatcher.py
@@ -28,7 +28,8 @@
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
     AttachRequest,
-    CancelJob,
+    CancelJobs,
+    CancelsReceived,
     DetachRequest,
     OpenJobs,
     Relayed,
@@ -98,7 +99,8 @@
             RequestAttached: self._shared_jobs.on_request_attached,
             AttachedRequestEnded: self._shared_jobs.on_attached_request_ended,
             DetachRequest: self.on_detach_request,
-            CancelJob: self.on_cancel_job,
+            CancelJobs: self.on_cancel_jobs,
+            CancelsReceived: self._shared_jobs.cancels.on_cancels_received,
         }
 
     @property
@@ -167,6 +169,9 @@
             caller may have submitted the job elsewhere since, nothing is started.
         """
         arrived = now if arrived is None else arrived
+        if self._shared_jobs.cancels.is_cancelled(job.id, now):
+            cancelled = events.job_cancelled_before(job.id)
+            return [cancelled, RequestAnswer(request_id, job.id, Code.CANCELLED_BEFORE)]
         record = self._records.get(job.id)
         if record is not None:
             record.attach(request_id, deadline)
@@ -229,13 +234,15 @@
         return [abandoned, *self._drop(record), *self._dispatch(now)]
 
     def delete(self, job_id, now):
-        """Cancel a job for all its callers; return None if no entry has it open."""
-        record = self._records.get(job_id)
-        if record is None:
-            return self._shared_jobs.cancel_elsewhere(job_id, now)
+        """Cancel a job for all its callers, wherever it is or will be submitted."""
+        effects = self._shared_jobs.cancels.cancel(job_id, now)
         self._assigner.request()
-        code = Code.CANCELLED_AFTER_START if record.begun else Code.CANCELLED
-        return self._finish_job(record, code, now) + self._dispatch(now)
+        return effects + self._dispatch(now)
+
+    def confirms_cancel(self, job_id, now):
+        """Return whether a job is cancelled and other processes can be told so."""
+        is_cancelled = self._shared_jobs.cancels.is_cancelled(job_id, now)
+        return is_cancelled and not self.isolated
 
     # Messages of agents.
 
@@ -339,11 +346,11 @@
         """Withdraw an attached request."""
         return self.cancel(message.request_id, message.job_id, now)
 
-    def on_cancel_job(self, _sender, message, now):
-        """Cancel a job for all its callers, as another entry was asked to."""
-        if message.job_id not in self._records:
-            return []
-        return self.delete(message.job_id, now)
+    def on_cancel_jobs(self, sender, message, now):
+        """Cancel jobs for all their callers, as another entry was asked to."""
+        effects = self._shared_jobs.cancels.on_cancel_jobs(sender, message, now)
+        self._assigner.request()
+        return effects + self._dispatch(now)
 
     # Events.
 
--- a/ragwortlug/jobs/shared_jobs.py
+++ b/ragwortlug/jobs/shared_jobs.py
@@ -9,12 +9,13 @@
 from ragwortlug.codes import Code
 from ragwortlug.envelope import Send
 from ragwortlug.jobs import dispatch_events as events
+from ragwortlug.jobs.cancels import Cancels
 from ragwortlug.jobs.entry_routes import EntryRoutes
 from ragwortlug.jobs.isolation import Isolation
 from ragwortlug.jobs.job_owners import JobOwners
 from ragwortlug.jobs.remote_requests import RemoteRequest, RemoteRequests
 from ragwortlug.jobs.request_answer import RequestAnswer
-from ragwortlug.lease_messages import AttachedRequestEnded, CancelJob, RequestAttached
+from ragwortlug.lease_messages import AttachedRequestEnded, RequestAttached
 
 MS_PER_S = 1000.0
 
@@ -44,6 +45,7 @@
         self._owners = JobOwners(settings)
         self._routes = EntryRoutes()
         self._remote_requests = RemoteRequests()
+        self._cancels = Cancels(records, finish_job, self._owner_address)
         # The processes whose requests are attached to jobs here, by request id.
         self._attached_from = {}
         self._isolation = Isolation(self._owners.silence_s)
@@ -60,6 +62,11 @@
         """Return the number of requests here that wait for jobs of other entries."""
         return len(self._remote_requests)
 
+    @property
+    def cancels(self):
+        """Return the `Cancels`, which handles the cancels of all entries."""
+        return self._cancels
+
     def set_entries(self, addresses, own_address):
         """Set the addresses of all entries and of this one."""
         self._own_address = own_address
@@ -112,11 +119,6 @@
         waited_s = now - arrived
         return self._owners.knows_others and waited_s >= self._owners.announced_age_s
 
-    def cancel_elsewhere(self, job_id, now):
-        """Cancel a job of another entry; return the effects, or None if none has it."""
-        owner = self._owners.owner_of(job_id, now)
-        return None if owner is None else [Send(owner.peer, CancelJob(job_id))]
-
     def answer(self, request_id, job_id, code, retry_after_s):
         """Return the effect that answers a request of a caller or of another entry."""
         receiver = self._attached_from.pop(request_id, None)
@@ -142,7 +144,7 @@
         self._routes.on_silence_reported(sender.address, is_silent, now)
         is_back = self._owners.on_open_jobs(sender, message, now)
         self._remote_requests.on_contact(sender, now)
-        effects = []
+        effects = self._cancels.on_open_jobs(sender, message, now)
         disputed = []
         for job_id, age_ms in message.jobs:
             record = self._records.get(job_id)
@@ -167,6 +169,10 @@
     def on_attach_request(self, sender, message, now):
         """Attach a request at another entry to the open job of that id."""
         request_id = message.request_id
+        if self._cancels.is_cancelled(message.job_id, now):
+            return [
+                Send(sender, AttachedRequestEnded(request_id, Code.CANCELLED_BEFORE))
+            ]
         record = self._records.get(message.job_id)
         if record is None:
             if message.job_id in self._stopping_job_ids():
@@ -205,6 +211,7 @@
         """
         self._routes.set_entries(self._owners.other_addresses, now)
         effects = events.relaying_changed(*self._routes.update(now))
+        effects += self._cancels.update(self._owners.other_addresses, now)
         effects += self._update_isolation(hears_agent, now)
         for request in self._remote_requests.pop_expired(now):
             code = Code.LEASE_ENDED
@@ -217,6 +224,11 @@
         silent = self._routes.silent(now)
         return effects + self._owners.announce(self._records, stopping, silent, now)
 
+    def _owner_address(self, job_id, now):
+        """Return the address of the entry that has announced a job, or ""."""
+        owner = self._owners.owner_of(job_id, now)
+        return "" if owner is None else owner.peer.address
+
     def _update_isolation(self, hears_agent, now):
         """Give up all jobs if other entries may start them."""
         was_isolated = self.isolated
@@ -242,10 +254,15 @@
     def _reclaim(self, request, now):
         """Start the job of a remote request here, since its owner has no run of it.
 
-        A request is given up if its caller may have submitted the job elsewhere since.
+        A request is given up if its caller may have submitted the job elsewhere since,
+        and ended if the job was cancelled.
         """
         job = request.job
         self._owners.remove(request.owner, job.id)
+        if self._cancels.is_cancelled(job.id, now):
+            cancelled = events.job_cancelled_before(job.id)
+            code = Code.CANCELLED_BEFORE
+            return [cancelled, RequestAnswer(request.request_id, job.id, code)]
         if now - request.arrived >= self._owners.announced_age_s:
             return [RequestAnswer(request.request_id, job.id, Code.OUTCOME_UNKNOWN)]
         return [
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -179,10 +179,19 @@
     job_id: str
 
 
-class CancelJob(Message):
-    """Asks the owner of a job to cancel it for all its callers."""
+class CancelJobs(Message):
+    """Tells another entry which jobs are cancelled: job id and how long to keep that.
 
-    job_id: str
+    Repeated until `CancelsReceived` names them. The times are in milliseconds.
+    """
+
+    cancels: tuple[tuple[str, int], ...]
+
+
+class CancelsReceived(Message):
+    """Says which cancels the sender has applied, and keeps."""
+
+    job_ids: tuple[str, ...]
 
 
 class Relayed(Message):
@@ -196,7 +205,8 @@
         | RequestAttached
         | AttachedRequestEnded
         | DetachRequest
-        | CancelJob
+        | CancelJobs
+        | CancelsReceived
     )
 
     def is_for(self, peer):
@@ -220,7 +230,8 @@
     | RequestAttached
     | AttachedRequestEnded
     | DetachRequest
-    | CancelJob
+    | CancelJobs
+    | CancelsReceived
     | Relayed
     | Rejected
 )
--- a/ragwortlug/platform/callers.py
+++ b/ragwortlug/platform/callers.py
@@ -11,11 +11,11 @@
 from ragwortlug.io.connections import is_closed_by_peer, unread_s
 from ragwortlug.io.http import error_body, json_response
 from ragwortlug.platform import wire
+from ragwortlug.restartable_model import MAX_JOB_MS
 
 DEADLINE_HEADER = "Deadline-Ms"
 REQUEST_HEADER = "Request-Id"
 JOB_ID_LENGTH = 16
-MAX_DEADLINE_MS = 60_000
 DEFAULT_DEADLINE_MS = 10_000
 MS_PER_S = 1000.0
 RETRY_AFTER_S = 1
@@ -114,10 +114,13 @@
         return self._close_if_shedding(json_response({"pending": pending}))
 
     async def _on_delete(self, request):
-        """Cancel a job."""
+        """Cancel a job; 410 for an id that no job can have."""
         _, job_id = self._match_queue(request)
-        deleted = self._dispatcher.delete(job_id)
-        return self._close_if_shedding(web.Response(status=200 if deleted else 410))
+        if not _JOB_ID.match(job_id):
+            return self._close_if_shedding(web.Response(status=410))
+        if not self._dispatcher.delete(job_id):
+            return self._refusal(Code.CANCEL_UNCONFIRMED, RETRY_AFTER_S)
+        return self._close_if_shedding(web.Response(status=200))
 
     def _match_queue(self, request):
         """Return the queue of a request and the rest of its path."""
@@ -165,10 +168,10 @@
 
 
 def _timeout_s(request, queue):
-    """Return how long the caller waits, in seconds; at most `MAX_DEADLINE_MS`."""
+    """Return how long the caller waits, in seconds; at most `MAX_JOB_MS`."""
     header = request.headers.get(DEADLINE_HEADER, "")
     try:
         timeout_ms = int(header) if header else queue.timeout_ms or DEFAULT_DEADLINE_MS
     except ValueError as error:
         raise RequestError(f"{DEADLINE_HEADER}: {header!r}", Code.BAD_FIELD) from error
-    return min(max(timeout_ms, 1), MAX_DEADLINE_MS) / MS_PER_S
+    return min(max(timeout_ms, 1), MAX_JOB_MS) / MS_PER_S
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -12,6 +12,8 @@
 from ragwortlug.decoding import Factor
 
 MAX_STEP_TASKS = 10_000
+# Longest time from a job's submission to its deadline.
+MAX_JOB_MS = 60_000
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -19,7 +19,8 @@
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
     AttachRequest,
-    CancelJob,
+    CancelJobs,
+    CancelsReceived,
     DetachRequest,
     Offer,
     OpenJobs,
@@ -344,7 +345,8 @@
             RequestAttached: self.dispatcher.shared_jobs.on_request_attached,
             AttachedRequestEnded: self.dispatcher.shared_jobs.on_attached_request_ended,
             DetachRequest: self.dispatcher.on_detach_request,
-            CancelJob: self.dispatcher.on_cancel_job,
+            CancelJobs: self.dispatcher.on_cancel_jobs,
+            CancelsReceived: self.dispatcher.shared_jobs.cancels.on_cancels_received,
             Relayed: self.on_relayed,
         }
         decide = decisions[type(message)]
--- a/tests/test_entry_routes.py
+++ b/tests/test_entry_routes.py
@@ -9,7 +9,7 @@
 from ragwortlug.jobs.dispatcher import Dispatcher
 from ragwortlug.jobs.entry_routes import RELAY_FOR_S, SILENT_S, EntryRoutes
 from ragwortlug.jobs.leased import LeasedRunner
-from ragwortlug.lease_messages import CancelJob, OpenJobs, Relayed, Renewal, Renewed
+from ragwortlug.lease_messages import CancelJobs, OpenJobs, Relayed, Renewal, Renewed
 from ragwortlug.lease_settings import RestartSettings
 from ragwortlug.restartable_model import Resources, WorkerState
 from tests.play import Faults, Play
@@ -113,7 +113,7 @@
 
     def test_an_agent_passes_messages_on_to_dispatchers_in_contact_only(self):
         runner = LeasedRunner(RestartSettings())
-        message = Relayed(OWN, OTHER, CancelJob("00c0ffee00c0ffee"))
+        message = Relayed(OWN, OTHER, CancelJobs((("00c0ffee00c0ffee", 60_000),)))
         assert runner.on_relayed(OWN, message, 10.0) == []
         runner.on_renewed(OTHER, Renewed(10_000), 10.0)
         assert runner.on_relayed(OWN, message, 10.0) == [Send(OTHER, message)]
@@ -133,7 +133,7 @@
         state = WorkerState("carving", "patan", (), ROOM, ROOM, True)
         dispatcher.on_renewal(AGENT, Renewal(10_000, state), 10.0)
         dispatcher.tick(10.0)
-        message = Send(OTHER, CancelJob("00c0ffee00c0ffee"))
+        message = Send(OTHER, CancelJobs((("00c0ffee00c0ffee", 60_000),)))
         assert dispatcher.relays(message, OWN, 10.1) == []
         dispatcher.on_renewal(AGENT, Renewal(10_600, state), 10.6)
         relayed = Relayed(OWN, OTHER, message.body)
--- a/tests/test_shared_jobs.py
+++ b/tests/test_shared_jobs.py
@@ -12,7 +12,8 @@
 from ragwortlug.lease_messages import (
     AttachedRequestEnded,
     AttachRequest,
-    CancelJob,
+    CancelJobs,
+    CancelsReceived,
     DetachRequest,
     OpenJobs,
     RelayedJobs,
@@ -165,8 +166,8 @@
 
     def test_a_cancellation_goes_to_the_owner(self, entry):
         self.follow(entry)
-        assert bodies(entry.delete(JOB.id, 10.3), CancelJob) == [
-            (OTHER, CancelJob(JOB.id))
+        assert bodies(entry.delete(JOB.id, 10.3), CancelJobs) == [
+            (Peer(OTHER.address), CancelJobs(((JOB.id, 60_000),)))
         ]
 
     def test_a_late_announcement_does_not_replace_a_newer_one(self, entry):
@@ -239,12 +240,15 @@
 
     def test_a_cancellation_of_another_entry_stops_the_runs(self, entry):
         entry.submit("r1", JOB, QUEUE, 19.0, 10.0)
-        effects = entry.on_cancel_job(OTHER, CancelJob(JOB.id), 10.5)
+        cancel = CancelJobs(((JOB.id, 60_000),))
+        acknowledged = Send(OTHER, CancelsReceived((JOB.id,)))
+        effects = entry.on_cancel_jobs(OTHER, cancel, 10.5)
         assert answers(effects) == [
             RequestAnswer("r1", JOB.id, Code.CANCELLED_AFTER_START)
         ]
         assert len(bodies(effects, StopRuns)) == 1
-        assert entry.on_cancel_job(OTHER, CancelJob(JOB.id), 10.6) == []
+        assert acknowledged in effects
+        assert entry.on_cancel_jobs(OTHER, cancel, 10.6) == [acknowledged]
 
     def test_a_job_is_left_to_the_entry_at_which_it_was_submitted_last(self, entry):
         entry.submit("r1", JOB, QUEUE, 19.0, 10.0)
