--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -116,6 +116,13 @@
     LEASE_ENDED = 203, Verdict.FAILED, 504, "The task outlived its lease."
     RESULT_DROPPED = 204, Verdict.FAILED, 410, "The job ended; its result was dropped."
 
+    CANCELLED_AFTER_START = (
+        205,
+        Verdict.FAILED,
+        409,
+        "The job was cancelled after tasks of it may have started.",
+    )
+
     # It can't be determined whether the work ran.
     OUTCOME_UNKNOWN = 300, Verdict.UNKNOWN, 504, "The outcome is unknown."
     HOME_LOST = 301, Verdict.UNKNOWN, 503, "The job's home is lost."
@@ -132,6 +139,18 @@
         "The id's birth is in the future; its home may still change.",
     )
     REPLY_LOST = 308, Verdict.UNKNOWN, 504, "The target's reply was lost."
+    CANCELLED_BEFORE = (
+        310,
+        Verdict.UNKNOWN,
+        409,
+        "The job was cancelled before this request; nothing more of it starts.",
+    )
+    CANCEL_UNCONFIRMED = (
+        311,
+        Verdict.UNKNOWN,
+        503,
+        "The entry can't confirm that the cancel holds; cancel again.",
+    )
 
     # Operators' results.
     NOTE_CONFLICT = 400, Verdict.NOT_RUN, 409, "Another note was accepted first."
