Hold the signals that reach a program before its event loop

Cause: the handlers were installed in daemon.serve, after all imports and after the settings were read.

Change: the programs on the platform and the daemons of the command line record these signals from their first lines on (early_signals.hold_signals), and serve handles what was recorded first: a reload is logged, and a stop ends the process with code 0 before anything starts. Other commands still end at once. A signal that arrives while serve replaces the handlers is recorded by one or the other, so none is lost.

Open: that first time is the interpreter's own, before any line of a program runs.

--- a/ragwortlug/cli.py
+++ b/ragwortlug/cli.py
@@ -56,9 +56,18 @@
 """
 
 
-def main(arguments=None):
-    """Run the command line and return its exit code."""
-    parsed = _parser().parse_args(arguments)
+def main(arguments=None, early_signals=()):
+    """Run the command line and return its exit code.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        The arguments of this process by default.
+    early_signals : sequence of int
+        Signals that a daemon handles when it starts, as they arrived before.
+    """
+    namespace = argparse.Namespace(early_signals=early_signals)
+    parsed = _parser().parse_args(arguments, namespace)
     try:
         return parsed.run(parsed)
     except SettingsError as error:
@@ -77,17 +86,17 @@
 def _run_entry(parsed):
     settings = load(parsed.settings, EntrySettings)
     set_up(settings.log, f"entry {settings.address}")
-    return uvloop.run(_serve(compose_entry, settings))
+    return uvloop.run(_serve(compose_entry, settings, parsed.early_signals))
 
 
 def _run_agent(parsed):
     settings = load(parsed.settings, AgentSettings)
     set_up(settings.log, f"agent {settings.address}")
-    return uvloop.run(_serve(compose_agent, settings))
+    return uvloop.run(_serve(compose_agent, settings, parsed.early_signals))
 
 
-async def _serve(compose, settings):
-    return await serve(compose(settings))
+async def _serve(compose, settings, early_signals):
+    return await serve(compose(settings), early_signals=early_signals)
 
 
 # Callers' commands.
--- a/ragwortlug/platform/program.py
+++ b/ragwortlug/platform/program.py
@@ -27,8 +27,16 @@
 }
 
 
-def main(arguments=None):
-    """Run a program until it is told to stop; return its exit code."""
+def main(arguments=None, early_signals=()):
+    """Run a program until it is told to stop; return its exit code.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        The arguments of this process by default.
+    early_signals : sequence of int
+        Signals that arrived before; they are handled when the program starts.
+    """
     parser = argparse.ArgumentParser(prog="ragwortlug.platform", description=__doc__)
     parser.add_argument("role", choices=sorted(PROGRAMS))
     parser.add_argument("--settings", help="settings file of the platform")
@@ -53,14 +61,15 @@
     journal = Journal(f"{parsed.role} {settings.address}")
     set_up_journal(settings.log, journal)
     try:
-        return uvloop.run(_run(settings, compose, journal))
+        return uvloop.run(_run(settings, compose, journal, early_signals))
     finally:
         journal.close()
 
 
-async def _run(settings, compose, journal):
+async def _run(settings, compose, journal, early_signals):
     """Compose a program, serve until it stops and return its exit code."""
     journal.write_event(EventName.STARTED, address=settings.address)
-    code = await serve(compose(settings, journal), settings.grace_s, journal)
+    kernel = compose(settings, journal)
+    code = await serve(kernel, settings.grace_s, journal, early_signals)
     journal.write_event(EventName.STOPPED, code=code)
     return code
