Run at most as many tasks of a step on one worker as its job asks

Change: it is decoded as Step.max_per_worker. The assigner leaves out the workers that have as many runs of the step as it allows, when it assigns waiting tasks, confined ones, and tasks for resources on offer. A task that only its limit keeps from workers lets the jobs behind it go first, and only agents of workers below the limit are told that it waits.

tests/play.py: its jobs may have a limit, and its witness looks at it.

--- a/ragwortlug/jobs/risky_jobs.py
+++ b/ragwortlug/jobs/risky_jobs.py
@@ -98,8 +98,11 @@
         usable = worker in own_workers or not self._crashes.is_risky(record.queue.name)
         return usable and not self._must_wait(worker, record, now)
 
-    def choose(self, record, step, now):
-        """Return the worker for a task of a confined job, or None for not now."""
+    def choose(self, record, step, now, avoided=()):
+        """Return the worker for a task of a confined job, or None for not now.
+
+        The agents whose incarnations are `avoided` are never chosen.
+        """
         service = record.queue.service
         candidates = list(self._own_workers(record, now))
         if not self._crashes.is_risky(record.queue.name):
@@ -109,6 +112,7 @@
         for worker in candidates:
             if (
                 worker in serving
+                and worker.peer.incarnation not in avoided
                 and worker.can_start(step.resources, step.label, now)
                 and not self._must_wait(worker, record, now)
             ):
--- a/ragwortlug/jobs/run_assigner.py
+++ b/ragwortlug/jobs/run_assigner.py
@@ -1,5 +1,7 @@
 """Assigns the waiting tasks of one dispatcher to the resources of workers."""
 
+from collections import Counter
+
 from ragwortlug.envelope import Send
 from ragwortlug.jobs import dispatch_events as events
 from ragwortlug.jobs.demand_notifier import DemandNotifier
@@ -57,17 +59,20 @@
         for service in self._waiting_jobs.services:
             runs = {}
             blocked = self._assign_waiting(service, runs, effects, now)
-            rank, resources = blocked or (None, Resources())
+            rank, resources, full_agents = blocked or (None, Resources(), ())
             for incarnation, assigned in runs.items():
                 worker = self._workers.get(incarnation)
-                message = StartRuns(
-                    worker.requested_at_ms, tuple(assigned), 0, rank, resources
-                )
+                demand = rank, resources
+                if incarnation in full_agents:
+                    demand = None, Resources()
+                message = StartRuns(worker.requested_at_ms, tuple(assigned), 0, *demand)
                 effects.append(Send(worker.peer, message))
-                worker.on_demand_sent(rank, now)
+                worker.on_demand_sent(demand[0], now)
             if blocked is not None:
-                avoided = self._risky_jobs.avoided(service, now)
-                effects += self._demand_notifier.notify(service, *blocked, now, avoided)
+                avoided = self._risky_jobs.avoided(service, now) | full_agents
+                effects += self._demand_notifier.notify(
+                    service, rank, resources, now, avoided
+                )
         return effects
 
     def answer_offer(self, worker, offer, open_jobs, now):
@@ -91,6 +96,8 @@
             assignments = []
             for task in self._waiting_jobs.eligible_tasks(record):
                 step = record.job.steps[task.step]
+                if worker.peer.incarnation in self._full_agents(record, task):
+                    continue
                 if (
                     free_resources.can_fit(step.resources)
                     and len(runs) < max(slots, 1)
@@ -114,11 +121,14 @@
     def _assign_waiting(self, service, runs, effects, now):
         """Assign tasks of a service.
 
-        Returns the rank and the resources of the first task that fits no worker, or
-        None if all tasks were assigned. Confined jobs are left out of that, since no
-        resources of other workers help them, and they do not wait behind others.
+        Returns the rank and the resources of the first task that fits no worker, and
+        the agents that can't run it, or None if all tasks were assigned. Confined jobs
+        are left out of that, since no resources of other workers help them, and they
+        do not wait behind others. A task that only its step's limit keeps from a
+        worker is returned if there is no other, and lets the jobs after it go first.
         """
         first_blocked = None
+        first_limited = None
         avoided = self._risky_jobs.avoided(service, now)
         ranked = self._waiting_jobs.ranked(service, now)
         for rank, record in self._risky_jobs.sort(ranked):
@@ -126,22 +136,28 @@
             if first_blocked is not None and not is_confined:
                 continue
             assignments = []
+            limited_steps = set()
             for task in self._waiting_jobs.eligible_tasks(record):
+                if task.step in limited_steps:
+                    continue
                 step = record.job.steps[task.step]
+                full_agents = self._full_agents(record, task)
                 if is_confined:
-                    worker = self._risky_jobs.choose(record, step, now)
+                    worker = self._risky_jobs.choose(record, step, now, full_agents)
                 else:
-                    worker = self._workers.choose(
-                        service,
-                        step.resources,
-                        step.label,
-                        task.excluded_agents,
-                        now,
-                        avoided,
-                    )
+                    worker = self._choose(record, task, now, avoided | full_agents)
                 if worker is None:
-                    if not is_confined:
-                        first_blocked = rank, step.resources
+                    if is_confined:
+                        break
+                    if full_agents and self._choose(record, task, now, avoided):
+                        limited_steps.add(task.step)
+                        first_limited = first_limited or (
+                            rank,
+                            step.resources,
+                            full_agents,
+                        )
+                        continue
+                    first_blocked = rank, step.resources, full_agents
                     break
                 run = self._assign(record, task, worker, now)
                 assignments.append((task, worker))
@@ -149,7 +165,45 @@
             effects += self._assignment_events(record, assignments, now)
             if first_blocked is not None and self._risky_jobs.is_calm:
                 break
-        return first_blocked
+        return first_blocked or first_limited
+
+    def _choose(self, record, task, now, avoided):
+        """Return the worker for a task of a job that is not confined, or None."""
+        step = record.job.steps[task.step]
+        return self._workers.choose(
+            record.queue.service,
+            step.resources,
+            step.label,
+            task.excluded_agents,
+            now,
+            avoided,
+        )
+
+    def _full_agents(self, record, task):
+        """Return the agents whose worker has as many tasks of a step as it may.
+
+        Runs count until their end is reported, also those of a former job of the same
+        id and those of an agent that was replaced by another one on its worker.
+
+        Returns
+        -------
+        frozenset of str
+            Incarnations; empty for a step without a limit.
+        """
+        limit = record.job.steps[task.step].max_per_worker
+        if not limit:
+            return frozenset()
+        agents = (
+            other_task.agent
+            for other, other_task in self._outstanding.values()
+            if other.job.id == record.job.id and other_task.step == task.step
+        )
+        counts = Counter(self._workers.get(agent).peer.address for agent in agents)
+        return frozenset(
+            worker.peer.incarnation
+            for worker in self._workers
+            if counts[worker.peer.address] >= limit
+        )
 
     def _assign(self, record, task, worker, now):
         """Record the assignment of a task to a worker and return its `Run`."""
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -97,6 +97,7 @@
     estimate_ms: Natural = 0
     after: list[Natural] = []
     requires: str = ""
+    anti_affinity: Natural = 0
     gang: bool = False
     long_running: bool = False
 
@@ -262,6 +263,7 @@
             step.estimate_ms,
             tuple(step.after),
             step.requires,
+            step.anti_affinity,
         )
         for step in wire.steps
     )
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -78,6 +78,8 @@
         Indexes of steps whose tasks must all be done first.
     label : str
         A label that the worker must have; empty for any worker.
+    max_per_worker : int
+        Maximum number of the tasks that run on one worker at a time; 0 for no limit.
     """
 
     count: int
@@ -85,6 +87,7 @@
     estimate_ms: int = 0
     after: tuple[int, ...] = ()
     label: str = ""
+    max_per_worker: int = 0
 
 
 class RestartableJob(msgspec.Struct, frozen=True):
--- a/tests/play.py
+++ b/tests/play.py
@@ -85,11 +85,14 @@
     ----------
     work_s : callable
         Returns the work of a run in seconds at speed 1.
+    max_per_worker : int
+        How many tasks of each job may run on one worker at a time; 0 for no limit.
     """
 
     seed: int = 0
     faults: Faults = field(default_factory=Faults)
     settings: RestartSettings = field(default_factory=RestartSettings)
+    max_per_worker: int = 0
 
     def __post_init__(self):
         self.now = 0.0
@@ -209,6 +212,9 @@
             if other.up and any(task == key[0] for task, _ in other.running):
                 self.broken.append(f"{self.now:.3f} twice: {key} on {other.name}")
         self.ran.add(key[0][0])
+        beside = sum(1 for task, _ in worker.running if task[:2] == key[0][:2])
+        if 0 < self.max_per_worker <= beside:
+            self.broken.append(f"{self.now:.3f} spread: {key} on {worker.name}")
         used = room
         for each in worker.running.values():
             used = used + each.room
@@ -254,7 +260,8 @@
         """
         for index, work_s in enumerate(works):
             self.work[(job_id, 0, index)] = work_s
-        job = RestartableJob(job_id, "spec", (Step(len(works), room, declared_ms),))
+        step = Step(len(works), room, declared_ms, max_per_worker=self.max_per_worker)
+        job = RestartableJob(job_id, "spec", (step,))
         aim_s = 1.6 * max(works) + 0.06
         deadline = self.now + limit_s
         queue = self.queues[kind]
