Refuse jobs that ask for what would be ignored

Change: they are refused with the new code 153 (503), whose detail names the field. Gangs, tasks that last and occurrences get it too; they got 148, which says that the job must be stored. 148 stays for jobs that are not best_effort.

--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -108,6 +108,7 @@
         503,
         "The entry has more work than its processor can handle.",
     )
+    UNSUPPORTED = 153, Verdict.NOT_RUN, 503, "The job needs what isn't supported."
 
     # Work that started and did not succeed.
     TASK_FAILED = 200, Verdict.FAILED, 500, "The task ran and failed."
--- a/ragwortlug/jobs/job_refusals.py
+++ b/ragwortlug/jobs/job_refusals.py
@@ -28,6 +28,8 @@
         A job that is estimated to miss its deadline may be accepted to check that
         estimate. The end of each accepted job must be reported to `on_job_ended`.
         """
+        if record.queue.needs_advice:
+            return Code.UNSUPPORTED
         if open_jobs >= self._settings.queue_jobs:
             return Code.QUEUE_FULL
         service = record.queue.service
--- a/ragwortlug/platform/wire.py
+++ b/ragwortlug/platform/wire.py
@@ -46,6 +46,8 @@
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 150
 MAX_LOGGED_BYTES = 200
+UNSUPPORTED_JOB_FIELDS = ("repeat_count", "start_at_ms")
+UNSUPPORTED_STEP_FIELDS = ("gang", "long_running", "max_unavailable", "target_ms")
 # How far the clock of another program may be ahead of the one of this process.
 MAX_CLOCK_LEAD_MS = 366 * 24 * 3_600_000
 
@@ -100,6 +102,8 @@
     anti_affinity: Natural = 0
     gang: bool = False
     long_running: bool = False
+    max_unavailable: Natural = 0
+    target_ms: float = 0.0
 
 
 class WireJob(msgspec.Struct):
@@ -109,6 +113,7 @@
     steps: Annotated[list[WireStep], msgspec.Meta(min_length=1, max_length=MAX_STEPS)]
     best_effort: bool = False
     repeat_count: Natural = 0
+    start_at_ms: Natural = 0
 
 
 class WireReport(msgspec.Struct):
@@ -154,7 +159,10 @@
 
 
 class WireRoute(msgspec.Struct):
-    """A route, which is a queue of jobs; `slo_ms` is added to `stretch` x the work."""
+    """A route, which is a queue of jobs; `slo_ms` is added to `stretch` x the work.
+
+    `recommendation` means that only some workers may run a step.
+    """
 
     name: Text
     host: Text
@@ -165,6 +173,7 @@
     stretch: Factor = 1.0
     slo_ms: Natural = 0
     timeout_ms: Natural = 0
+    recommendation: Any = None
 
 
 class WireLimits(msgspec.Struct):
@@ -253,9 +262,9 @@
     for number, step in enumerate(wire.steps):
         if any(predecessor >= number for predecessor in step.after):
             raise RequestError(f"step {number} waits for a later one", Code.BAD_FIELD)
-    has_lasting_step = any(step.gang or step.long_running for step in wire.steps)
-    if not wire.best_effort or wire.repeat_count or has_lasting_step:
+    if not wire.best_effort:
         raise RequestError("only restartable jobs are taken", Code.NOT_STORED)
+    _check_supported(wire)
     steps = tuple(
         Step(
             step.count,
@@ -270,6 +279,19 @@
     return RestartableJob(job_id, wire.spec, steps)
 
 
+def _check_supported(wire):
+    """Raise `RequestError` for a job that would be run in another way than it asks."""
+    for name in UNSUPPORTED_JOB_FIELDS:
+        if getattr(wire, name):
+            raise RequestError(f"{name} is not supported", Code.UNSUPPORTED)
+    for number, step in enumerate(wire.steps):
+        for name in UNSUPPORTED_STEP_FIELDS:
+            if getattr(step, name):
+                raise RequestError(
+                    f"step {number}: {name} is not supported", Code.UNSUPPORTED
+                )
+
+
 def report_of(worker_id, raw):
     """Return the `WorkerReport` in a status report, or raise `RequestError`."""
     wire = decode_body(raw, _reports)
@@ -358,6 +380,7 @@
                 route.stretch,
                 route.slo_ms,
                 route.timeout_ms,
+                bool(route.recommendation),
             )
         )
     return QueueTable(wire.version, tuple(queues), wire.limits.max_body_bytes)
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -115,6 +115,9 @@
         The latency objective: `stretch` times the critical path plus `slack_ms`.
     timeout_ms : int
         Maximum duration of a request; 0 for no limit.
+    needs_advice : bool
+        Whether only workers that another service names may run a step. Such jobs are
+        refused.
     """
 
     name: str
@@ -126,6 +129,7 @@
     stretch: Factor = 1.0
     slack_ms: int = 0
     timeout_ms: int = 0
+    needs_advice: bool = False
 
 
 class QueueTable(msgspec.Struct, frozen=True):
