--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -80,6 +80,8 @@
         Indexes of steps whose tasks must all be done first.
     label : str
         A label that the worker must have; empty for any worker.
+    max_per_worker : int
+        Maximum number of the tasks that run on one worker at a time; 0 for no limit.
     """
 
     count: int
@@ -87,6 +89,7 @@
     estimate_ms: int = 0
     after: tuple[int, ...] = ()
     label: str = ""
+    max_per_worker: int = 0
 
 
 class RestartableJob(msgspec.Struct, frozen=True):
@@ -114,6 +117,9 @@
         The latency objective: `stretch` times the critical path plus `slack_ms`.
     timeout_ms : int
         Maximum duration of a request; 0 for no limit.
+    needs_advice : bool
+        Whether only workers that another service names may run a step. Such jobs are
+        refused.
     """
 
     name: str
@@ -125,6 +131,7 @@
     stretch: Factor = 1.0
     slack_ms: int = 0
     timeout_ms: int = 0
+    needs_advice: bool = False
 
 
 class QueueTable(msgspec.Struct, frozen=True):
