Refuse a retransmit_ms within which a task could have two runs

Callers saw: nothing yet, as the users' retransmit_ms is 1,300 on all sites known. It sets caller_retry_ms, while permission_ms and orphan_ms are fixed at 900 and 1,000: with less than a second, a caller's next attempt starts while runs of an entry that was killed may go on.

Change: RestartSettings.least_caller_retry_ms is the larger of orphan_ms and of the least announcement age with its 800 ms of lead. The announcement age moves from JobOwners to the settings, unchanged.

Evidence: nine new tests in tests/test_platform_settings.py fail before: six settings that are refused, for both programs, and three that check the inequalities of those that are taken (these for want of the new property). A play in TestMechanisms shows that a retry after 400 ms gives two runs; it holds before, too, as it breaks on purpose.

--- a/ragwortlug/jobs/job_owners.py
+++ b/ragwortlug/jobs/job_owners.py
@@ -14,10 +14,6 @@
 MS_PER_S = 1000.0
 # Announcements go out with the first tick after this time.
 ANNOUNCEMENT_INTERVAL_S = 0.2
-# How long before the earliest return of its caller a job is first announced, so that
-# lost messages do not matter.
-ANNOUNCEMENT_LEAD_S = 0.8
-MIN_ANNOUNCED_AGE_S = 0.1
 # How much longer than its runs may exist an entry must be silent. An announcement may
 # be late or lost.
 SILENCE_MARGIN_S = 0.5
@@ -56,10 +52,7 @@
     """
 
     def __init__(self, settings):
-        self._announced_age_s = max(
-            settings.caller_retry_ms / MS_PER_S - ANNOUNCEMENT_LEAD_S,
-            MIN_ANNOUNCED_AGE_S,
-        )
+        self._announced_age_s = settings.announced_age_ms / MS_PER_S
         self._silence_s = settings.orphan_ms / MS_PER_S + SILENCE_MARGIN_S
         # Agents stop the runs of a dispatcher that they miss after this time.
         self._isolated_after_s = (
--- a/ragwortlug/lease_settings.py
+++ b/ragwortlug/lease_settings.py
@@ -11,6 +11,10 @@
 _ADDRESS = re.compile(r"tcp://(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})")
 MAX_PORT = 65_535
 MAX_CHECKED_ADDRESSES = 10_000
+# How long before the earliest return of its caller a job is first announced to other
+# entries, so that lost messages do not matter.
+ANNOUNCEMENT_LEAD_MS = 800
+MIN_ANNOUNCED_AGE_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +84,21 @@
     dispatchers: Count = 5
     caller_retry_ms: Count = 1300
 
+    @property
+    def announced_age_ms(self):
+        """Return the age at which an entry first announces a job to the others."""
+        age_ms = self.caller_retry_ms - ANNOUNCEMENT_LEAD_MS
+        return max(age_ms, MIN_ANNOUNCED_AGE_MS)
+
+    @property
+    def least_caller_retry_ms(self):
+        """Return the least `caller_retry_ms` with which a task has one run at a time.
+
+        Before a caller is back at another entry, the runs of an entry that has stopped
+        must have ended, and the announcement of one that goes on must have arrived.
+        """
+        return max(self.orphan_ms, MIN_ANNOUNCED_AGE_MS + ANNOUNCEMENT_LEAD_MS)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseSettings:
--- a/ragwortlug/platform/settings.py
+++ b/ragwortlug/platform/settings.py
@@ -153,9 +153,22 @@
 
 
 def _restart_settings(platform_settings):
-    """Return the `RestartSettings`, within the platform's bounds."""
+    """Return the `RestartSettings`, within the platform's bounds.
+
+    Raises
+    ------
+    SettingsError
+        Callers retry so soon that a task could have two runs at a time.
+    """
     defaults = RestartSettings()
-    return RestartSettings(
+    settings = RestartSettings(
         lease_ms=min(defaults.lease_ms, platform_settings.lease_ms),
         caller_retry_ms=platform_settings.retry_ms,
     )
+    least_ms = settings.least_caller_retry_ms
+    if settings.caller_retry_ms < least_ms:
+        raise SettingsError(
+            f"bounds.retransmit_ms: {settings.caller_retry_ms} is less than "
+            f"{least_ms}, within which the runs of a lost attempt end"
+        )
+    return settings
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -4,11 +4,16 @@
 
 import pytest
 
+from ragwortlug.codes import Code
 from ragwortlug.errors import SettingsError
-from ragwortlug.platform.program import EXIT_SETTINGS, main
+from ragwortlug.jobs.job_owners import JobOwners
+from ragwortlug.platform.program import EXIT_SETTINGS, PROGRAMS, main
 from ragwortlug.platform.settings import agent_settings, entry_settings, read
 from standins.platform_settings import INNER_PORT, settings_text
 
+CLOCK_DRIFT = 0.02
+# Three announcements, each sent with the first tick after 200 ms.
+ANNOUNCEMENTS_MS = 3 * 250
 GOOD = settings_text(
     "127.0.0.1", "127.0.0.1", "patan", ["127.0.0.2", "127.0.0.3"], "127.0.0.9:8100"
 )
@@ -67,6 +72,28 @@
         assert main(["entry", "--settings", str(path)]) == EXIT_SETTINGS
         assert str(path) in capsys.readouterr().err
 
+    @pytest.mark.parametrize("role", ["entry", "agent"])
+    @pytest.mark.parametrize("retry_ms", [1, 899, 999])
+    def test_callers_that_retry_before_runs_have_ended_are_refused(
+        self, file_with, capsys, role, retry_ms
+    ):
+        path = file_with("retransmit_ms = 1300", f"retransmit_ms = {retry_ms}")
+        with pytest.raises(SettingsError, match="retransmit_ms"):
+            PROGRAMS[role][0](read(path))
+        assert main([role, "--settings", str(path)]) == EXIT_SETTINGS
+        shown = capsys.readouterr().err
+        assert f"[{int(Code.BAD_SETTINGS)}] bounds.retransmit_ms: {retry_ms}" in shown
+
+    @pytest.mark.parametrize("retry_ms", [1000, 1300, 5000])
+    def test_times_that_allow_one_run_are_taken(self, file_with, retry_ms):
+        path = file_with("retransmit_ms = 1300", f"retransmit_ms = {retry_ms}")
+        times = entry_settings(read(path)).restart
+        assert times.permission_ms * (1 + CLOCK_DRIFT) <= times.orphan_ms
+        assert times.orphan_ms <= times.caller_retry_ms == retry_ms
+        assert times.announced_age_ms + ANNOUNCEMENTS_MS <= retry_ms
+        owners = JobOwners(times)
+        assert owners.isolated_after_s < owners.silence_s
+
     @pytest.mark.parametrize(
         ("role", "name"), [("entry", "front"), ("entry", "ready"), ("agent", "control")]
     )
--- a/tests/test_restartable.py
+++ b/tests/test_restartable.py
@@ -297,6 +297,9 @@
     def test_waiting_for_silent_agents(self):
         assert self.broken(settings=RestartSettings(orphan_ms=200))
 
+    def test_callers_that_retry_after_permissions_have_ended(self):
+        assert self.broken(settings=RestartSettings(caller_retry_ms=400))
+
     def test_ending_with_the_permission(self):
         limit = lambda _self, _homes, limit, _now: limit  # noqa: E731
         with (
