Soak: tell processes to reload while they start

A new kind of fault, reload_starting, kills a process and sends SIGHUP to the next one within 0.3 s of its first lines.

An end by SIGHUP counts as an end by itself now even if the process was killed shortly before. The check is stricter than before.

tests/test_faults.py: the idle stand-in of a program handles SIGHUP now, as the programs do; the new kind waits for that. FragileProgram is what it was.

The kind doesn't show a program whose handlers come late, since it waits for them: tests/test_early_signals.py does.

--- a/tests/faults/programs.py
+++ b/tests/faults/programs.py
@@ -57,6 +57,15 @@
         running = self._process is not None and self._process.returncode is None
         return self._process.pid if running else None
 
+    @property
+    def handles_reload(self):
+        """Return whether the running process handles SIGHUP by now."""
+        if self.pid is None:
+            return False
+        status = Path(f"/proc/{self.pid}/status").read_text()
+        caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+        return bool(caught >> (signal.SIGHUP - 1) & 1)
+
     async def start(self):
         """Start the process, and start it again whenever it has ended."""
         await self._launch()
@@ -120,7 +129,9 @@
         loop = asyncio.get_running_loop()
         while True:
             code = await self._process.wait()
-            if loop.time() - self._signalled_at > BLAMED_S:
+            # No signal of the soak may end a process in that way.
+            by_reload = code == -signal.SIGHUP
+            if by_reload or loop.time() - self._signalled_at > BLAMED_S:
                 self.own_ends.append(code)
             await asyncio.sleep(self._down_s)
             await self._launch()
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -16,6 +16,9 @@
 ASK_EVERY_S = 0.25
 FLAP_DOWN_S = (0.01, 0.06)
 REFUSED_LEAST_S = 0.02
+# Between a program's first lines and its event loop.
+STARTING_S = 0.3
+STARTING_LIMIT_S = 10.0
 CALLERS_DELAY_S = (0.1, 1.0)
 
 
@@ -94,6 +97,22 @@
         site.programs[name].signal(signal.SIGHUP)
 
 
+async def reload_starting(site, _callers, rng, for_s):
+    """Kill a process, and tell it that its settings have changed while it starts."""
+    name = _anyone(site, rng)
+    program = site.programs[name]
+    killed = program.pid
+    over = site.witness.begin((name,))
+    program.signal(signal.SIGKILL)
+    async with asyncio.timeout(STARTING_LIMIT_S):
+        while program.pid in (None, killed) or not program.handles_reload:
+            await asyncio.sleep(0.001)
+    await asyncio.sleep(rng.uniform(0.0, STARTING_S))
+    program.signal(signal.SIGHUP)
+    await asyncio.sleep(for_s)
+    over()
+
+
 async def stall_output(site, _callers, rng, for_s):
     """Let nobody read the output of some processes; that disturbs nothing."""
     programs = [
@@ -438,4 +457,10 @@
 )
 CALLER_KINDS = (mute_callers, cut_callers, reset_callers, delay_callers, lose_stops)
 WORKER_KINDS = (flap_worker, refuse_worker)
-KINDS = (*GENERAL_KINDS, *CALLER_KINDS, *WORKER_KINDS, part_entries)
+KINDS = (
+    *GENERAL_KINDS,
+    *CALLER_KINDS,
+    *WORKER_KINDS,
+    part_entries,
+    reload_starting,
+)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import sys
 from types import SimpleNamespace
 
@@ -74,6 +75,18 @@
 class IdleProgram(Program):
     """A process that takes the signals of the soak and does nothing."""
 
+    _command = (
+        sys.executable,
+        "-c",
+        "import signal, time\n"
+        "signal.signal(signal.SIGHUP, lambda *_: None)\n"
+        "time.sleep(60)",
+    )
+
+
+class FragileProgram(Program):
+    """A process that a reload ends."""
+
     _command = (sys.executable, "-c", "import time; time.sleep(60)")
 
 
@@ -87,6 +100,16 @@
         assert added == set()
 
 
+class TestReloads:
+    """No process may end by a reload, however it fared just before."""
+
+    @pytest.mark.parametrize(
+        ("program", "ends"), [(FragileProgram, [-signal.SIGHUP]), (IdleProgram, [])]
+    )
+    def test_an_end_by_a_reload_counts_after_a_kill(self, tmp_path, program, ends):
+        assert asyncio.run(own_ends(program, tmp_path)) == ends
+
+
 class TestWorkers:
     """Workers fail towards their agents as processes do."""
 
@@ -135,6 +158,25 @@
             await session.post(f"http://{host}:{APP}/api/hold", json=body)
 
 
+async def own_ends(kind, folder):
+    """Kill a program, tell it to reload once it is back; return how it ended."""
+    program = kind("entry-0", "entry", folder / "settings", "", folder / "log")
+    await program.start()
+    killed = program.pid
+    try:
+        program.signal(signal.SIGKILL)
+        while program.pid in (None, killed):
+            await asyncio.sleep(0.01)
+        if kind is IdleProgram:
+            while not program.handles_reload:
+                await asyncio.sleep(0.01)
+        program.signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        return program.own_ends
+    finally:
+        await program.stop()
+
+
 async def refuse(site, name):
     """Refuse connections to a worker that lives on."""
     site.agents = [name]
