Soak: judge work that outlasts the grace period by the time of the kill

"cut by a planned stop" excuses work that was not done when its entry was killed, as the rule LOST does, but looked whether it went on when the caller's connection ended.

The end of the work is compared with the time of the kill now. A run that ended before the kill still counts, as does work that was sent later than 3 s after the signal: new cases of test_only_work_that_outlasts_the_grace_period_may_be_cut, 10 ms on either side.

--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -61,6 +61,7 @@
     done: set = field(default_factory=set)
     failures: Counter = field(default_factory=Counter)
     crashes: Counter = field(default_factory=Counter)
+    work_ended_at: float = float("-inf")
 
 
 class Witness:
@@ -146,6 +147,8 @@
         facts = {"task": order[0], "run_id": order[1], "end": how}
         self.note("run_ended", job=job_id, worker=worker.name, **facts)
         job = self.jobs.get(job_id)
+        if job is not None:
+            job.work_ended_at = self._now()
         if job is not None and how == "done":
             job.done.add(int(index))
         if job is not None and how == "failed":
@@ -250,7 +253,8 @@
 
     def _outlasts_grace(self, job, attempt, asked_at):
         """Return whether a request's work was not done when its entry was killed."""
-        is_at_work = any(
+        killed_at = asked_at + GRACE_S
+        is_at_work = job.work_ended_at >= killed_at or any(
             task.partition(".")[0] == job.id
             for worker in self.workers.values()
             for task, _ in worker.running
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -53,6 +53,9 @@
             (11.8, 16.0, False, True),
             (13.1, 16.0, True, True),
             (11.8, 14.9, True, True),
+            (11.8, 16.1, 16.01, False),
+            (11.8, 16.1, 15.99, True),
+            (13.1, 16.1, 16.01, True),
         ],
     )
     def test_only_work_that_outlasts_the_grace_period_may_be_cut(
@@ -61,10 +64,13 @@
         async def cut():
             links = SimpleNamespace(take_refusal=lambda *_: False)
             witness = Witness(3, links, tmp_path / "witness.log")
-            running = {("job.0.0.0", 1): None} if at_work else {}
+            # Whether work goes on, or when it ended.
+            running = {("job.0.0.0", 1): None} if at_work is True else {}
             witness.workers["worker"] = SimpleNamespace(running=running)
             attempt = Attempt("entry-0", sent_at, 8.0, ended_at=ended_at)
             job = Job("job", "4.300", 1, 100, 8.0)
+            if isinstance(at_work, float):
+                job.work_ended_at = at_work
             witness.answered(job, attempt, [("entry-0", 10.0)])
             witness.close()
             return witness.broken
