--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -63,7 +63,7 @@
     )
     CANCELLED_JOB_ANNOUNCED = (
         "cancelled_job_announced",
-        "An entry announced a job that was cancelled, and is told again.",
+        "An entry announced a job that was cancelled, and is sent the cancel again.",
     )
 
     RUNS_ORDERED = "runs_ordered", "Tasks of a job were sent to agents."
--- a/ragwortlug/jobs/cancels.py
+++ b/ragwortlug/jobs/cancels.py
@@ -20,21 +20,21 @@
 MAX_CANCELS = 20_000
 MAX_CANCELS_PER_MESSAGE = 500
 REPEAT_INTERVAL_S = 0.25
-# An entry from which no announcement has arrived for HEARD_S may have stopped.
-HEARD_S = 1.0
+# An entry without an announcement for so long may have stopped.
+CONTACT_TIMEOUT_S = 1.0
 SILENT_REPEAT_INTERVAL_S = 1.0
 EXPIRY_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
 class OtherEntry:
-    """What another entry has been told.
+    """What has been sent to another entry.
 
     Attributes
     ----------
     incarnation : str
         Its latest process.
-    heard_at : float
+    contact_at : float
         Monotonic seconds of its latest announcement.
     unsent : dict
         Ids of jobs whose cancels have not been sent, in order; the values are None.
@@ -45,7 +45,7 @@
     """
 
     incarnation: str = ""
-    heard_at: float = float("-inf")
+    contact_at: float = float("-inf")
     unsent: dict = field(default_factory=dict)
     unacknowledged: dict = field(default_factory=dict)
     next_repeat_at: float = float("-inf")
@@ -59,12 +59,12 @@
             self.incarnation = incarnation
             self.unsent = dict.fromkeys(kept)
             self.unacknowledged.clear()
-        elif now - self.heard_at > HEARD_S:
+        elif now - self.contact_at > CONTACT_TIMEOUT_S:
             self.unsent |= dict.fromkeys(self.unacknowledged)
             self.unacknowledged.clear()
-        self.heard_at = now
+        self.contact_at = now
 
-    def tell(self, job_ids):
+    def queue(self, job_ids):
         """Let the cancels of jobs be sent, unless they are about to be repeated."""
         for job_id in job_ids:
             if job_id not in self.unacknowledged:
@@ -88,8 +88,8 @@
         """Remove and return the ids of the cancels to repeat now, a list."""
         if now < self.next_repeat_at:
             return []
-        is_heard = now - self.heard_at <= HEARD_S
-        interval_s = REPEAT_INTERVAL_S if is_heard else SILENT_REPEAT_INTERVAL_S
+        in_contact = now - self.contact_at <= CONTACT_TIMEOUT_S
+        interval_s = REPEAT_INTERVAL_S if in_contact else SILENT_REPEAT_INTERVAL_S
         oldest = islice(self.unacknowledged.items(), limit)
         repeated = [job_id for job_id, sent_at in oldest if now - sent_at >= interval_s]
         for job_id in repeated:
@@ -157,7 +157,7 @@
             effects += self._end(record, now)
         if is_kept:
             for entry in self._entries.values():
-                entry.tell([job_id])
+                entry.queue([job_id])
         return effects + self._messages(now)
 
     # Messages of other entries.
@@ -202,7 +202,7 @@
         effects = []
         for job_id, age_ms in message.jobs:
             if self.is_cancelled(job_id, now):
-                entry.tell([job_id])
+                entry.queue([job_id])
                 effects.append(events.cancelled_job_announced(job_id, sender, age_ms))
         return effects + self._messages(now)
 
@@ -213,7 +213,7 @@
         heard = {
             address
             for address, entry in self._entries.items()
-            if now - entry.heard_at <= HEARD_S
+            if now - entry.contact_at <= CONTACT_TIMEOUT_S
         }
         self._entries = {
             address: self._entries.get(address) or OtherEntry()
--- a/ragwortlug/jobs/shared_jobs.py
+++ b/ragwortlug/jobs/shared_jobs.py
@@ -113,8 +113,8 @@
     def may_be_elsewhere(self, arrived, now):
         """Return whether a caller may have submitted its job elsewhere meanwhile.
 
-        `arrived` is when its request arrived here. Other entries have not been told of
-        the job by the time from which on that is possible.
+        `arrived` is when its request arrived here. A job as old as that would have
+        been announced to the other entries by now.
         """
         waited_s = now - arrived
         return self._owners.knows_others and waited_s >= self._owners.announced_age_s
