--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -110,12 +110,13 @@
         How many of each.
     observe : callable, optional
         Called as ``observe(worker, event, run)``, see `PlatformWorker`.
-    worker : type, optional
-        The class of the workers.
+    worker_processes : bool, optional
+        Whether each worker is a process of its own. `observe` is not called then; what
+        they ran is in the record.
     """
 
     def __init__(
-        self, folder, entries=3, agents=3, observe=None, worker=PlatformWorker
+        self, folder, entries=3, agents=3, observe=None, worker_processes=False
     ):
         self.record = Record(folder / "record.txt")
         self._net = _free_net(entries, agents)
@@ -140,7 +141,8 @@
         self.processes = {}
         self.workers = {}
         self._observe = observe or (lambda *_: None)
-        self._worker = worker
+        self._worker_processes = worker_processes
+        self._copies = []
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self._session = None
 
@@ -173,6 +175,7 @@
                     process.send_signal(signal.SIGCONT)
                     process.kill()
             await process.wait()
+        await asyncio.gather(*self._copies)
         for worker in self.workers.values():
             await worker.stop()
         await self.store.stop()
@@ -240,7 +243,10 @@
 
     async def _start_worker(self, name):
         """Start the worker beside an agent."""
-        worker = self._worker(
+        if self._worker_processes:
+            await self._launch_worker(name)
+            return
+        worker = PlatformWorker(
             SERVICE,
             self.zones[name],
             f"http://{self.ips[name]}:{CONTROL}",
@@ -252,6 +258,29 @@
         self.workers[name] = worker
         await worker.start(self.ips[name], APP)
 
+    async def _launch_worker(self, name):
+        """Start the worker beside an agent as a process, and record what it runs."""
+        command = ["python3", "-m", "review.rig2.worker", self.ips[name], str(APP)]
+        command += [SERVICE, self.zones[name], f"http://{self.ips[name]}:{CONTROL}"]
+        worker = f"worker of {name}"
+        self.processes[worker] = await asyncio.create_subprocess_exec(
+            *command,
+            f"i-{name}",
+            cwd=ROOT,
+            env=os.environ | {"PYTHONPATH": "target/deps"},
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        copy = asyncio.create_task(self._copy(worker))
+        self._copies.append(copy)
+
+    async def _copy(self, worker):
+        """Record what a worker writes."""
+        async for line in self.processes[worker].stdout:
+            run = json.loads(line)
+            event = f"run {run['event']}"
+            self.record.write(event, worker=worker, task=run["task"])
+
     def signal(self, name, number):
         """Send a signal to a program."""
         self.processes[name].send_signal(number)
@@ -323,6 +352,12 @@
         )
         return status, text
 
+    async def get(self, url):
+        """Make a GET call; return the status."""
+        async with self._session.get(url) as answer:
+            await answer.read()
+            return answer.status
+
     async def is_ready(self, entry, wait_s=1.0):
         """Return whether an entry answers the probe for readiness with 200."""
         url = f"http://{self.ips[entry]}:{READY}/api/readiness"
