--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -20,11 +20,16 @@
 
 import aiohttp
 
+from review.rig2.partition import Partition, Proxy
 from standins.platform import PlatformStore, PlatformWorker
 
 ROOT = Path(__file__).parents[2]
 INNER, FRONT, CONTROL, READY, APP, STORE = 7720, 8161, 8166, 8167, 8080, 8169
 METRICS = 9464
+# Where a program behind a proxy listens; one of its free internal ports.
+BEHIND_PROXY = 7721
+# The store is in no zone that is ever cut off.
+STORE_ZONE = ""
 SERVICE, HOST_NAME, PREFIX = "mould-carve", "a.example", "/p/"
 ZONES = ("patan", "bhaktapur", "kirtipur")
 START_LIMIT_S = 20.0
@@ -113,10 +118,19 @@
     worker_processes : bool, optional
         Whether each worker is a process of its own. `observe` is not called then; what
         they ran is in the record.
+    proxies : bool, optional
+        Whether proxies stand between the processes, and before the store, so that
+        `partition` can cut a zone off. The programs then get the option ``--listen``.
     """
 
     def __init__(
-        self, folder, entries=3, agents=3, observe=None, worker_processes=False
+        self,
+        folder,
+        entries=3,
+        agents=3,
+        observe=None,
+        worker_processes=False,
+        proxies=False,
     ):
         self.record = Record(folder / "record.txt")
         self._net = _free_net(entries, agents)
@@ -143,6 +157,8 @@
         self._observe = observe or (lambda *_: None)
         self._worker_processes = worker_processes
         self._copies = []
+        self.partition = Partition() if proxies else None
+        self._proxies = []
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self._session = None
 
@@ -155,6 +171,8 @@
         await self.store.start(self.ips["store"], STORE)
         await self.configure(1)
         for name in (*self.entries, *self.agents):
+            if self.partition is not None:
+                await self._start_proxies(name)
             await self.launch(name)
         for name in self.agents:
             await self._start_worker(name)
@@ -176,6 +194,8 @@
                     process.kill()
             await process.wait()
         await asyncio.gather(*self._copies)
+        for proxy in self._proxies:
+            await proxy.stop()
         for worker in self.workers.values():
             await worker.stop()
         await self.store.stop()
@@ -207,6 +227,7 @@
         role = name.partition("-")[0]
         is_entry = role == "entry"
         seeds = [f"{self.ips[each]}:{CONTROL}" for each in self.entries]
+        store_host = "store" if self.partition is None else name
         settings = self.folder / f"{name}.toml"
         settings.write_text(
             SETTINGS.format(
@@ -219,7 +240,7 @@
                 seeds=json.dumps(seeds[:3]),
                 memory_mb=300 if is_entry else 168,
                 max_fds=4100 if is_entry else 4096,
-                store=f"{self.ips['store']}:{STORE}",
+                store=f"{self.ips[store_host]}:{STORE}",
             )
         )
         environment = {
@@ -229,9 +250,12 @@
         }
         environment |= self._roles[role]["env"]
         environment |= {"RAGWORTLUG_BOOT": str(settings), "PYTHONPATH": "target/deps"}
+        command = self._roles[role]["run"].split()
+        if self.partition is not None:
+            command += ["--listen", f"tcp://{self.ips[name]}:{BEHIND_PROXY}"]
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = await asyncio.create_subprocess_exec(
-            *self._roles[role]["run"].split(),
+            *command,
             cwd=ROOT,
             env=environment,
             stdin=asyncio.subprocess.DEVNULL,
@@ -241,6 +265,26 @@
         log.close()
         self.record.write("started", process=name, pid=self.processes[name].pid)
 
+    async def _start_proxies(self, name):
+        """Start the proxies before a program, and between it and the store."""
+        ip, zone = self.ips[name], self.zones[name]
+        zone_by_host = {self.ips[each]: self.zones[each] for each in self.zones}
+        behind, store = (ip, BEHIND_PROXY), (self.ips["store"], STORE)
+        for listen, target, target_zone, source_zone in (
+            ((ip, INNER), behind, zone, None),
+            ((ip, STORE), store, STORE_ZONE, zone),
+        ):
+            proxy = Proxy(
+                self.partition, listen, target, target_zone, source_zone, zone_by_host
+            )
+            self._proxies.append(proxy)
+            await proxy.start()
+
+    def cut(self, zone):
+        """Cut a zone off from the others and from the store; None to heal."""
+        self.partition.set(zone)
+        self.record.write("partition", zone=zone)
+
     async def _start_worker(self, name):
         """Start the worker beside an agent."""
         if self._worker_processes:
