--- a/review/rig2/partition.py
+++ b/review/rig2/partition.py
@@ -108,3 +108,63 @@
         """Return the zone of the process whose address a message begins with."""
         found = re.search(rb"tcp://([0-9.]+):", data)
         return None if found is None else self._zone_by_host.get(found[1].decode())
+
+
+class Silencer:
+    """A proxy whose open connections can go silent for good, without an end.
+
+    Parameters
+    ----------
+    listen, target : tuple
+        Host and port of the proxy, and of the process behind it.
+    """
+
+    def __init__(self, listen, target):
+        self._listen = listen
+        self._target = target
+        self._silent = False
+        self._server = None
+        self._serving = set()
+
+    async def start(self):
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, *self._listen)
+
+    async def stop(self):
+        """Cease to listen, and end all connections."""
+        self._server.close()
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
+    def silence(self):
+        """Let nothing pass any more, not even an end or a reset."""
+        self._silent = True
+
+    def _accept(self, reader, writer):
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(self, reader, writer):
+        """Pass the bytes of one connection both ways."""
+        inner_reader, inner_writer = await asyncio.open_connection(*self._target)
+        try:
+            await asyncio.gather(
+                self._pass_on(reader, inner_writer),
+                self._pass_on(inner_reader, writer),
+            )
+        finally:
+            writer.close()
+            inner_writer.close()
+
+    async def _pass_on(self, reader, writer):
+        """Pass the bytes of one direction on."""
+        while data := await reader.read(CHUNK_BYTES):
+            if self._silent:
+                break
+            writer.write(data)
+            await writer.drain()
+        if self._silent:
+            await asyncio.Event().wait()
+        writer.close()
