--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -114,7 +114,8 @@
     entries, agents : int
         How many of each.
     observe : callable, optional
-        Called as ``observe(worker, event, run)``, see `PlatformWorker`.
+        Called as ``observe(worker, event, run)``, see `PlatformWorker`; by default
+        the record gets a line.
     worker_processes : bool, optional
         Whether each worker is a process of its own. `observe` is not called then; what
         they ran is in the record.
@@ -154,7 +155,7 @@
         }
         self.processes = {}
         self.workers = {}
-        self._observe = observe or (lambda *_: None)
+        self._observe = observe or self._record_run
         self._worker_processes = worker_processes
         self._copies = []
         self.partition = Partition() if proxies else None
@@ -183,6 +184,11 @@
             await asyncio.sleep(3.5)  # contact_ms
         self.record.write("deployment serves")
 
+    def _record_run(self, worker, event, run):
+        """Record the start or the end of a run."""
+        task = run["task"] if event == "start" else run[0]
+        self.record.write(f"run {event}", worker=worker.name, task=task)
+
     async def stop(self):
         """End all that was started."""
         if self._session is not None:
@@ -339,10 +345,6 @@
         peak = [line for line in status.splitlines() if line.startswith("VmHWM")]
         return int(peak[0].split()[1]) / 1000 if peak else None
 
-    def log_text(self, name):
-        """Return what a program has written."""
-        return (self.folder / f"{name}.log").read_text(errors="replace")
-
     async def post(self, entry, job_id, body, deadline_ms, wait_s=None):
         """Submit a job; return the status, 0 if there is none, and the body."""
         return await self.call("POST", entry, job_id, body, deadline_ms, wait_s)
@@ -402,15 +404,6 @@
             await answer.read()
             return answer.status
 
-    async def is_ready(self, entry, wait_s=1.0):
-        """Return whether an entry answers the probe for readiness with 200."""
-        url = f"http://{self.ips[entry]}:{READY}/api/readiness"
-        try:
-            async with asyncio.timeout(wait_s), self._session.get(url) as answer:
-                return answer.status == 200
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            return False
-
 
 def job(spec, count=1, cpu=1000, mem_mb=64, **fields):
     """Return a job of one step that needn't be kept; `spec` is its work in seconds."""
