--- a/review/rig2/rig.py
+++ b/review/rig.py
@@ -20,10 +20,10 @@
 
 import aiohttp
 
-from review.rig2.partition import Partition, Proxy
+from review.partition import Partition, Proxy
 from standins.platform import PlatformStore, PlatformWorker
 
-ROOT = Path(__file__).parents[2]
+ROOT = Path(__file__).parents[1]
 INNER, FRONT, CONTROL, READY, APP, STORE = 7720, 8161, 8166, 8167, 8080, 8169
 METRICS = 9464
 # Where a program behind a proxy listens; one of its free internal ports.
@@ -310,7 +310,7 @@
 
     async def _launch_worker(self, name):
         """Start the worker beside an agent as a process, and record what it runs."""
-        command = ["python3", "-m", "review.rig2.worker", self.ips[name], str(APP)]
+        command = ["python3", "-m", "review.rig_worker", self.ips[name], str(APP)]
         command += [SERVICE, self.zones[name], f"http://{self.ips[name]}:{CONTROL}"]
         worker = f"worker of {name}"
         self.processes[worker] = await asyncio.create_subprocess_exec(
--- a/review/rig2/worker.py
+++ b/review/rig_worker.py
@@ -1,4 +1,4 @@
-"""One stand-in worker as a process: ``python3 -m review.rig2.worker HOST PORT ...``.
+"""One stand-in worker as a process: ``python3 -m review.rig_worker HOST PORT ...``.
 
 It writes a line of JSON for each start and end of a run, until it is killed.
 """
