Log the boots and the labels of starts that another boot may have answered

Either a start is sent to the boot that reported last and a later boot carries it out, or the agent knows the later boot and the entry chose it by the labels of the former one. The first left no line at all, and worker_boot had no labels. Change: run_other_boot names both boots; worker_boot has service and labels.

--- a/ragwortlug/events.py
+++ b/ragwortlug/events.py
@@ -101,6 +101,10 @@
         "A worker listed how a run ended whose lease had expired unheard.",
     )
     RUN_ADOPTED = "run_adopted", "A later boot of a worker has a run of the former."
+    RUN_OTHER_BOOT = (
+        "run_other_boot",
+        "The boot of the worker that answered a start is, or may be, another one.",
+    )
 
     WORKER_JOINED = "worker_joined", "The first message from an agent arrived."
     WORKER_CHANGED = "worker_changed", "A worker began or ceased to accept runs."
--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -19,6 +19,7 @@
     event_of,
     late_runs,
     may_reach,
+    run_other_boot,
 )
 from ragwortlug.jobs.permissions import Permissions
 from ragwortlug.jobs.reported_boots import ReportedBoots
@@ -207,6 +208,8 @@
         fields = {
             "worker": report.id,
             "born_ms": report.booted_at_ms,
+            "service": report.service,
+            "labels": report.labels,
             "token": self._lease.fencing_token,
             "open_runs": len(self._runs),
             "recalled": recalled,
@@ -482,8 +485,10 @@
             if local_run.phase is Phase.STARTING:
                 local_run.phase = Phase.UNACKNOWLEDGED
                 local_run.unacknowledged_since = now
-            unsure = [] if started else [event_of(EventName.RUN_UNSURE, local_run)]
-            return [*unsure, RequestSnapshot()]
+            event = event_of(EventName.RUN_UNSURE, local_run)
+            if started:
+                event = run_other_boot(local_run, self._worker, clock)
+            return [event, RequestSnapshot()]
         end = RunEnd.OUTDATED if answer is StartAnswer.OUTDATED else RunEnd.NOT_STARTED
         if answer is StartAnswer.OTHER_BOOT and self._is_current(command.boot):
             return self._on_replaced(None, now)
--- a/ragwortlug/jobs/local_runs.py
+++ b/ragwortlug/jobs/local_runs.py
@@ -209,6 +209,24 @@
     return Event(name, local_run.run.job_id, fields)
 
 
+def run_other_boot(local_run, report, clock):
+    """Return the event of a start that another boot may have carried out.
+
+    Parameters
+    ----------
+    report : WorkerReport or None
+        The latest report of the boot that the agent takes for the current one.
+    clock : WorkerClock or None
+        The clock in the worker's answer. Its boot, if given, is proof.
+    """
+    fields = {"sent_to_ms": local_run.command.boot[1]}
+    if clock is not None:
+        fields |= {"answered_by_ms": clock.booted_at_ms, "clock_ms": clock.clock_ms}
+    if report is not None:
+        fields |= {"service": report.service, "labels": report.labels}
+    return event_of(EventName.RUN_OTHER_BOOT, local_run, **fields)
+
+
 def run_presumed_lost(local_run, end, proof, answered_ms_ago):
     """Return the event of a run whose end is reported though no worker listed it.
 
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -731,6 +731,18 @@
         effects = look(agent, WorkerSnapshot(90, 10_050, (), (done,)), 10.2)
         assert reported_ends(effects) == [(1, RunEnd.DONE)]
 
+    def test_a_start_that_it_answered_is_logged_with_both_boots(self):
+        """Guards against logs that don't say which boot carried out a start."""
+        agent = runner()
+        start(agent)
+        key = (SENDER.incarnation, 1)
+        clock = WorkerClock(8, self.LATER.booted_at_ms)
+        effects = agent.on_start_answered(key, StartAnswer.STARTED, 10.06, clock)
+        (logged,) = events(effects, EventName.RUN_OTHER_BOOT)
+        boots = (logged.fields["sent_to_ms"], logged.fields["answered_by_ms"])
+        assert boots == (REPORT.booted_at_ms, self.LATER.booted_at_ms)
+        assert logged.fields["labels"] == REPORT.labels
+
     def test_a_start_without_an_answer_waits_for_its_first_snapshot(self):
         agent = runner()
         start(agent)
