Send a start only on a connection on which its boot has answered

Cause: an agent without runs asks its worker nothing. If the worker crashes and boots again under its id as another kind, the agent sends starts to the boot that reported last, on a new connection, until the later boot's first report; Expect-Instance names the id only. Change: WorkerClient sends a start on a connection that has answered as the boot that the command is for. TCP delivers it to that process or to none. Ruled out: a look before each start (a call more for each, and still a window), a bound on the age of the last answer (the same window).

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -493,6 +493,8 @@
         if answer is StartAnswer.OTHER_BOOT and self._is_current(command.boot):
             return self._on_replaced(None, now)
         effects = self._run_ends.end([(key, end)], EndProof.NOT_STARTED, now)
+        if answer is StartAnswer.NOT_SENT:
+            effects.append(RequestSnapshot())
         return self._reports.offer_then_report(effects, now)
 
     def on_stop_answered(self, task, attempt, answered, now):
@@ -577,7 +579,8 @@
             command = StartCommand(boot, token, self._lease.clock_bound)
             self._runs[key] = LocalRun(run, sender, now, now, command)
             lease = self._give_lease(now)
-            effects.append(StartOnWorker(boot, key, run, lease, token))
+            least_clock_ms = self._lease.least_clock_ms
+            effects.append(StartOnWorker(boot, key, run, lease, token, least_clock_ms))
         if refused:
             # Without a permission, free resources can't be used before the next
             # renewal. If they were reported, the dispatcher would assign the same
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -44,13 +44,18 @@
 
 
 class StartAnswer(enum.Enum):
-    """The worker's answer to the command to start a run."""
+    """The worker's answer to the command to start a run.
+
+    `OTHER_BOOT` comes from a boot with another id. `NOT_SENT` says that the boot that
+    the command is for did not answer before, so that the command was not sent.
+    """
 
     STARTED = "started"
     OUTDATED = "outdated"
     REJECTED = "rejected"
     NO_ANSWER = "no answer"
     OTHER_BOOT = "other boot"
+    NOT_SENT = "not sent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +142,8 @@
     ----------
     lease_until_ms : int
         Time at which the lease expires, on the worker's clock.
+    least_clock_ms : int
+        What the clock of the boot showed before.
     """
 
     boot: tuple[str, int]
@@ -144,6 +151,7 @@
     run: Run
     lease_until_ms: int
     fencing_token: int
+    least_clock_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -1,5 +1,6 @@
 """The worker beside an agent: its status reports, and calls to it."""
 
+import contextlib
 import errno
 
 import aiohttp
@@ -13,6 +14,7 @@
     WorkerSilentError,
 )
 from ragwortlug.io.http import read_raw
+from ragwortlug.io.process_connections import ConnectionEndedError, ProcessConnections
 from ragwortlug.io.responses import json_response
 from ragwortlug.jobs.worker_calls import StartAnswer
 from ragwortlug.leased_actor import WorkerDeparted
@@ -22,6 +24,7 @@
 MS_PER_S = 1000.0
 SNAPSHOT_TIMEOUT_S = 0.15
 KEEPALIVE_S = 60.0
+START_PATH, STOP_PATH, HOLD_PATH = "/api/run-start", "/api/run-stop", "/api/hold"
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_OTHER_BOOT = 421
@@ -84,6 +87,9 @@
 class WorkerClient:
     """Calls the worker beside the agent.
 
+    The worker may boot again under its id and address, with other labels. A start is
+    therefore sent on a connection on which the boot that it is for has answered.
+
     Parameters
     ----------
     call_ms : int
@@ -92,21 +98,14 @@
 
     def __init__(self, call_ms):
         self._call_timeout_s = call_ms / MS_PER_S
-        self._session = None
+        self._connections = ProcessConnections(KEEPALIVE_S)
 
     async def start(self):
-        """Open the connection pool."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            headers={"Content-Type": "application/json"},
-        )
+        """Do nothing: the first call opens a connection."""
 
     async def stop(self):
-        """Close the connection pool."""
-        if self._session is not None:
-            await self._session.close()
+        """Close the connections."""
+        await self._connections.close()
 
     async def start_run(self, worker, command):
         """Ask the worker to start a run; return its `StartAnswer` and `WorkerClock`.
@@ -123,11 +122,12 @@
             "fencing_token": command.fencing_token,
         }
         try:
-            status, raw = await self._post(worker, "/api/run-start", body)
+            status, raw = await self._post_start(worker, command, body)
+        except (WorkerSilentError, WorkerReplacedError, WorkerFencedError) as error:
+            log.warning("A start was not sent to the worker: {}.", error)
+            refused = isinstance(error, WorkerSilentError) and error.refused
+            return (StartAnswer.REJECTED if refused else StartAnswer.NOT_SENT), None
         except _NO_ANSWER_ERRORS as error:
-            if _is_refused(error):
-                # The connection was never open, so the start was not sent.
-                return StartAnswer.REJECTED, None
             log.warning("No answer from the worker to a start: {!r}.", error)
             return StartAnswer.NO_ANSWER, None
         if status == HTTP_OTHER_BOOT:
@@ -151,7 +151,7 @@
             "fencing_token": command.fencing_token,
         }
         try:
-            status, _ = await self._post(worker, "/api/run-stop", body)
+            _, status, _ = await self._post(worker, STOP_PATH, body)
         except _NO_ANSWER_ERRORS as error:
             log.warning("No answer from the worker to a stop: {!r}.", error)
             return False
@@ -177,33 +177,89 @@
         if request.lease_until_ms is not None:
             body["deadline_ms"] = request.lease_until_ms
         try:
-            status, raw = await self._post(worker, "/api/hold", body, wait_ms)
-            if status == HTTP_OK:
-                return wire.snapshot_of(raw)
-            if status == HTTP_CONFLICT:
-                clock, reason = wire.clock_of(raw)
-                raise WorkerFencedError(reason, clock.clock_ms if clock else 0)
+            connection, status, raw = await self._post(worker, HOLD_PATH, body, wait_ms)
         except _NO_ANSWER_ERRORS as error:
             raise WorkerSilentError(repr(error), _is_refused(error)) from error
-        if status == HTTP_OTHER_BOOT:
-            raise WorkerReplacedError(f"{worker.id} is not the id of the worker")
-        raise WorkerSilentError(f"status {status}")
+        snapshot = _snapshot_in(worker, status, raw)
+        if snapshot.booted_at_ms:
+            connection.process = (worker.id, snapshot.booted_at_ms)
+        return snapshot
+
+    async def _post_start(self, worker, command, body):
+        """Send a start on a connection to its boot; return the status and the body.
+
+        Raises
+        ------
+        WorkerSilentError, WorkerReplacedError, WorkerFencedError
+            The boot did not answer on a new connection; the start was not sent.
+        """
+        while True:
+            verified = False
+            try:
+                async with self._connections.take(
+                    worker.address, command.boot
+                ) as connection:
+                    if connection.process is None:
+                        await self._verify_boot(connection, worker, command)
+                        verified = True
+                    return await self._call(connection, worker, START_PATH, body)
+            except ConnectionEndedError as error:
+                if verified:
+                    raise WorkerSilentError(repr(error)) from error
+
+    async def _verify_boot(self, connection, worker, command):
+        """Check that a new connection reaches the boot that a start is for.
+
+        The look gives no lease, and takes note of no end.
+        """
+        body = {"fencing_token": command.fencing_token, "last_seen": 0}
+        try:
+            status, raw = await self._call(connection, worker, HOLD_PATH, body)
+        except _NO_ANSWER_ERRORS as error:
+            raise WorkerSilentError(repr(error), _is_refused(error)) from error
+        snapshot = _snapshot_in(worker, status, raw)
+        is_other = snapshot.clock_ms < command.least_clock_ms
+        if snapshot.booted_at_ms:
+            is_other = snapshot.booted_at_ms != command.boot[1]
+        if is_other:
+            raise WorkerReplacedError(f"{worker.id} has booted again")
+        connection.process = command.boot
 
     async def _post(self, worker, path, body, wait_ms=0):
-        """Make one call; return the status and the body of the response."""
+        """Make one call; return its connection, the status and the body."""
+        while True:
+            with contextlib.suppress(ConnectionEndedError):
+                async with self._connections.take(worker.address) as connection:
+                    answer = await self._call(connection, worker, path, body, wait_ms)
+                    return connection, *answer
+
+    async def _call(self, connection, worker, path, body, wait_ms=0):
+        """Make one call on a connection; return the status and the body."""
         timeout_s = (
             self._call_timeout_s
             if not wait_ms
             else SNAPSHOT_TIMEOUT_S + wait_ms / MS_PER_S
         )
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
-        async with self._session.post(
-            f"http://{worker.address}{path}",
-            data=_encoder.encode(body),
-            headers={"Expect-Instance": worker.id},
-            timeout=timeout,
-        ) as response:
-            return response.status, await response.read()
+        headers = {"Expect-Instance": worker.id}
+        return await connection.post(path, _encoder.encode(body), headers, timeout_s)
+
+
+def _snapshot_in(worker, status, raw):
+    """Return the `WorkerSnapshot` in an answer, or raise the error that it stands for.
+
+    The errors are those of `WorkerClient.request_snapshot`.
+    """
+    if status == HTTP_OTHER_BOOT:
+        raise WorkerReplacedError(f"{worker.id} is not the id of the worker")
+    if status == HTTP_CONFLICT:
+        clock, reason = wire.clock_of(raw)
+        raise WorkerFencedError(reason, clock.clock_ms if clock else 0)
+    if status != HTTP_OK:
+        raise WorkerSilentError(f"status {status}")
+    try:
+        return wire.snapshot_of(raw)
+    except msgspec.DecodeError as error:
+        raise WorkerSilentError(repr(error)) from error
 
 
 def _is_refused(error):
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -743,6 +743,17 @@
         assert boots == (REPORT.booted_at_ms, self.LATER.booted_at_ms)
         assert logged.fields["labels"] == REPORT.labels
 
+    def test_a_start_that_was_not_sent_ends_and_its_boot_is_asked(self):
+        """Guards against starts that are assigned to a boot that is gone again."""
+        agent = runner()
+        start(agent)
+        key = (SENDER.incarnation, 1)
+        effects = agent.on_start_answered(key, StartAnswer.NOT_SENT, 10.06)
+        assert reported_ends(effects) == [(1, RunEnd.NOT_STARTED)]
+        assert RequestSnapshot() in effects
+        look(agent, WorkerSnapshot(9, 10_050, (), ()), 10.061)
+        assert not agent.accepting
+
     def test_a_start_without_an_answer_waits_for_its_first_snapshot(self):
         agent = runner()
         start(agent)
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -1,11 +1,17 @@
 """What the answers of a worker to its agent's calls prove, through real sockets."""
 
 import asyncio
+import dataclasses
 
 import pytest
 from aiohttp import web
 
-from ragwortlug.jobs.worker_calls import StartAnswer, StartOnWorker, WorkerClock
+from ragwortlug.jobs.worker_calls import (
+    SnapshotRequest,
+    StartAnswer,
+    StartOnWorker,
+    WorkerClock,
+)
 from ragwortlug.platform.worker import WorkerClient
 from tests.test_leased import REPORT, RUN
 from tests.test_platform import HOST, free_ports
@@ -13,32 +19,87 @@
 COMMAND = StartOnWorker(REPORT.boot_id, ("entry-1", 1), RUN, 900, 1)
 
 
-def answer_to_start(status, body, listens=True):
-    """Return the client's result of a start that is answered with a status and body."""
+class Boot:
+    """One boot of a worker at a port; it notes the calls that it gets.
+
+    Attributes
+    ----------
+    calls : list of str
+        The last part of each call's path.
+    closes : bool
+        Whether it closes the connection after each answer.
+    """
+
+    def __init__(self, born, start_answer=(200, b'{"clock_ms":7}'), clock_ms=7):
+        self._start_answer = start_answer
+        lists = {"clock_ms": clock_ms, "running": [], "finished": []}
+        if born:
+            lists["born"] = born
+        self._lists = lists
+        self._runner = None
+        self.calls = []
+        self.closes = False
+
+    async def listen(self, port):
+        """Start listening."""
+        app = web.Application()
+        app.router.add_post("/api/run-start", self._on_start)
+        app.router.add_post("/api/hold", self._on_hold)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, HOST, port, reuse_address=True).start()
+
+    async def end(self):
+        """Close the connections and stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
 
-    async def answer(request):
-        return web.Response(status=status, body=body)
+    async def _on_start(self, request):
+        self.calls.append("run-start")
+        status, body = self._start_answer
+        return self._answered(web.Response(status=status, body=body))
+
+    async def _on_hold(self, request):
+        self.calls.append("hold")
+        return self._answered(web.json_response(self._lists))
+
+    def _answered(self, response):
+        if self.closes:
+            response.force_close()
+        return response
+
+
+def with_client(play):
+    """Return the result of ``play(client, worker, port)``."""
 
     async def body_of_test():
         (port,) = free_ports(1)
-        app = web.Application()
-        app.router.add_post("/api/run-start", answer)
-        runner = web.AppRunner(app)
-        await runner.setup()
-        if listens:
-            await web.TCPSite(runner, HOST, port).start()
         client = WorkerClient(1000)
         await client.start()
+        worker = type("Worker", (), {"address": f"{HOST}:{port}", "id": "i-1"})
         try:
-            worker = type("Worker", (), {"address": f"{HOST}:{port}", "id": "i-1"})
-            return await client.start_run(worker, COMMAND)
+            return await play(client, worker, port)
         finally:
             await client.stop()
-            await runner.cleanup()
 
     return asyncio.run(body_of_test())
 
 
+def answer_to_start(status, body, listens=True):
+    """Return the client's result of a start that is answered with a status and body."""
+
+    async def play(client, worker, port):
+        boot = Boot(REPORT.booted_at_ms, (status, body))
+        if listens:
+            await boot.listen(port)
+        try:
+            return await client.start_run(worker, COMMAND)
+        finally:
+            await boot.end()
+
+    return with_client(play)
+
+
 class TestStarts:
     @pytest.mark.parametrize(
         ("status", "body", "answer"),
@@ -80,3 +141,115 @@
     )
     def test_the_clock_in_an_answer(self, body, clock):
         assert answer_to_start(200, body) == (StartAnswer.STARTED, clock)
+
+
+class TestBootsAtOneAddress:
+    """A worker boots again under its id and address, perhaps as another kind."""
+
+    SNAPSHOT = SnapshotRequest(REPORT.boot_id, 0.0, 1, 0, 0, None)
+
+    @pytest.mark.parametrize("is_connected", [False, True])
+    def test_a_start_for_the_former_boot_does_not_reach_the_later_one(
+        self, is_connected
+    ):
+        """Guards against a start on a later boot without the label that a job needs."""
+
+        async def play(client, worker, port):
+            former, later = Boot(REPORT.booted_at_ms), Boot(REPORT.booted_at_ms + 1)
+            await former.listen(port)
+            if is_connected:
+                await client.request_snapshot(worker, self.SNAPSHOT, 0)
+            await former.end()
+            await later.listen(port)
+            try:
+                answer = await client.start_run(worker, COMMAND)
+            finally:
+                await later.end()
+            return answer, former.calls + later.calls
+
+        answer, calls = with_client(play)
+        assert "run-start" not in calls
+        assert answer == (StartAnswer.NOT_SENT, None)
+
+    def test_a_start_is_not_sent_without_an_answer_of_its_boot(self):
+        """Guards against a start on a connection whose other end is not known."""
+
+        async def play(client, worker, port):
+            boot = Boot(REPORT.booted_at_ms, clock_ms="7")
+            await boot.listen(port)
+            try:
+                return await client.start_run(worker, COMMAND), boot.calls
+            finally:
+                await boot.end()
+
+        assert with_client(play) == ((StartAnswer.NOT_SENT, None), ["hold"])
+
+    def test_starts_on_an_open_connection_ask_nothing_further(self):
+        """Guards against a price of each start in calls and connections."""
+
+        async def play(client, worker, port):
+            boot = Boot(REPORT.booted_at_ms)
+            await boot.listen(port)
+            try:
+                await client.request_snapshot(worker, self.SNAPSHOT, 0)
+                for _ in range(3):
+                    await client.start_run(worker, COMMAND)
+            finally:
+                await boot.end()
+            return boot.calls
+
+        assert with_client(play) == ["hold"] + ["run-start"] * 3
+
+    def test_a_start_goes_on_a_new_connection_after_the_worker_closed_the_open_one(
+        self,
+    ):
+        """Guards against starts that fail after a worker closed an idle connection."""
+
+        async def play(client, worker, port):
+            boot = Boot(REPORT.booted_at_ms)
+            await boot.listen(port)
+            try:
+                boot.closes = True
+                await client.request_snapshot(worker, self.SNAPSHOT, 0)
+                boot.closes = False
+                return await client.start_run(worker, COMMAND), boot.calls
+            finally:
+                await boot.end()
+
+        (answer, _), calls = with_client(play)
+        assert answer is StartAnswer.STARTED
+        assert calls == ["hold", "hold", "run-start"]
+
+    def test_a_start_is_given_up_if_no_connection_stays_open(self):
+        """Guards against an endless loop at a worker that closes every connection."""
+
+        async def play(client, worker, port):
+            boot = Boot(REPORT.booted_at_ms)
+            boot.closes = True
+            await boot.listen(port)
+            try:
+                return await client.start_run(worker, COMMAND), boot.calls
+            finally:
+                await boot.end()
+
+        assert with_client(play) == ((StartAnswer.NOT_SENT, None), ["hold"])
+
+    @pytest.mark.parametrize(
+        ("least_clock_ms", "answer"),
+        [(7, StartAnswer.STARTED), (8, StartAnswer.NOT_SENT)],
+    )
+    def test_a_boot_that_does_not_name_itself_is_told_by_its_clock(
+        self, least_clock_ms, answer
+    ):
+        """Guards against a start on a boot whose clock shows that it is a later one."""
+
+        async def play(client, worker, port):
+            boot = Boot(0)
+            await boot.listen(port)
+            command = dataclasses.replace(COMMAND, least_clock_ms=least_clock_ms)
+            try:
+                return await client.start_run(worker, command)
+            finally:
+                await boot.end()
+
+        assert with_client(play)[0] is answer
