Refuse runs that were chosen for a worker of another kind

Seen: not by callers, in plays. A run starts on a worker that lacks the required label, or that belongs to another service, though its agent knows that. Cause: an entry assigns by what the latest renewal said of the worker. When the worker has booted again as another kind, the agent takes assignments that are on their way, or of an entry that handles messages late: it didn't know what the worker was chosen by. Change: assignments carry the service (once a message) and the label of each run; the agent refuses what its worker isn't for, as 'other kind', reports no free resources and requests renewals. Ruled out: refusing assignments by the age of the permission's request, which also refuses all that are on their way when a boot of the same kind begins. Result: TestBootsOfAnotherKind 24 of 24 pass, TestOtherKinds passes; the tests of test_leased, test_dispatcher, test_restartable, test_bad_input, test_step_limits, test_resource_reports pass. In the plays a command on its way reaches the next boot by default, as before.

--- a/ragwortlug/jobs/leased.py
+++ b/ragwortlug/jobs/leased.py
@@ -546,6 +546,7 @@
         self._permissions.offer_answered(message.offer)
         effects = []
         refused = []
+        is_outdated = False
         requested_at_ms = message.requested_at_ms
         permitted = self._permissions.allows(
             sender, requested_at_ms, self._lease.expires_at, now
@@ -554,8 +555,9 @@
             key = (sender.incarnation, run.number)
             if key in self._runs:
                 continue
-            reason = self._refusal_reason(sender, key, run, permitted)
+            reason = self._refusal_reason(sender, message.service, run, permitted)
             if reason is not None:
+                is_outdated |= reason is RefusalReason.OTHER_KIND
                 refused.append((run.number, reason.end, 0.0))
                 self._run_ends.refuse(key, reason.end)
                 event = run_refused(
@@ -582,15 +584,15 @@
             least_clock_ms = self._lease.least_clock_ms
             effects.append(StartOnWorker(boot, key, run, lease, token, least_clock_ms))
         if refused:
-            # Without a permission, free resources can't be used before the next
-            # renewal. If they were reported, the dispatcher would assign the same
-            # runs again at once.
-            free_resources = (
-                self._reports.unreserved()
-                if permitted and self.may_start
-                else Resources()
-            )
+            # Without a permission, or for a dispatcher that knows a former boot of the
+            # worker, free resources can't be used before the next renewal. If they were
+            # reported, the dispatcher would assign the same runs again at once.
+            free_resources = Resources()
+            if permitted and self.may_start and not is_outdated:
+                free_resources = self._reports.unreserved()
             effects.append(Send(sender, RunsEnded(tuple(refused), free_resources)))
+        if is_outdated:
+            effects += self._request_renewals()
         effects += self._reports.offer(now)
         return effects + self._reports.report_remainder()
 
@@ -708,8 +710,12 @@
         """Return whether a boot is the current one."""
         return self._worker is not None and self._worker.boot_id == boot_id
 
-    def _refusal_reason(self, sender, key, run, permitted):
-        """Return why a run must not start, or None if it may."""
+    def _refusal_reason(self, sender, service, run, permitted):
+        """Return why a run for a service must not start, or None if it may.
+
+        The dispatcher may have chosen the worker by the report of a former boot.
+        """
+        key = (sender.incarnation, run.number)
         task = (run.job_id, run.step, run.index)
         if not permitted:
             return RefusalReason.NO_PERMISSION
@@ -717,6 +723,8 @@
             return RefusalReason.NOT_ACCEPTING
         if not self.in_service:
             return RefusalReason.EVACUATED
+        if not self._worker.can_run(service, run.label):
+            return RefusalReason.OTHER_KIND
         if key in self._run_ends:
             return RefusalReason.ENDED
         if any(local_run.task == task for local_run in self._runs.values()):
--- a/ragwortlug/jobs/run_assigner.py
+++ b/ragwortlug/jobs/run_assigner.py
@@ -69,7 +69,9 @@
                 demand = rank, resources
                 if incarnation in full_agents:
                     demand = None, Resources()
-                message = StartRuns(worker.requested_at_ms, tuple(assigned), 0, *demand)
+                message = StartRuns(
+                    worker.requested_at_ms, tuple(assigned), 0, *demand, service
+                )
                 effects.append(Send(worker.peer, message))
                 worker.on_demand_sent(demand[0], now)
             if blocked is not None:
@@ -120,7 +122,7 @@
         worker.notified = best_remaining is not None
         rank, resources = best_remaining or (None, Resources())
         message = StartRuns(
-            worker.requested_at_ms, tuple(runs), offer.number, rank, resources
+            worker.requested_at_ms, tuple(runs), offer.number, rank, resources, service
         )
         return [*effects, Send(worker.peer, message)]
 
@@ -232,6 +234,7 @@
             step.resources,
             task.expected_ms * worker.slowdown,
             record.queue.name,
+            step.label,
         )
 
     def _assignment_events(self, record, assignments, now):
--- a/ragwortlug/jobs/run_refusals.py
+++ b/ragwortlug/jobs/run_refusals.py
@@ -12,6 +12,7 @@
     NO_PERMISSION = "no permission"
     NOT_ACCEPTING = "not accepting"
     EVACUATED = "evacuated"
+    OTHER_KIND = "other kind"
     ENDED = "ended"
     SAME_TASK = "same task"
     RESERVED = "reserved"
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -42,6 +42,13 @@
         """Return the pair of id and boot time that identifies this boot."""
         return (self.id, self.booted_at_ms)
 
+    def can_run(self, service, label):
+        """Return whether the worker belongs to a service and has a label.
+
+        An empty service or label stands for any.
+        """
+        return service in ("", self.service) and (not label or label in self.labels)
+
 
 class StartAnswer(enum.Enum):
     """The worker's answer to the command to start a run.
--- a/ragwortlug/lease_messages.py
+++ b/ragwortlug/lease_messages.py
@@ -50,7 +50,7 @@
 
     `offer` is the number of the offer that this answers, or 0. `rank` and
     `resources` are those of the best task that still waits; `rank` is None if no
-    task waits.
+    task waits. `service` is the one that the runs are for; empty if unknown.
     """
 
     requested_at_ms: int
@@ -58,6 +58,7 @@
     offer: int = 0
     rank: Rank | None = None
     resources: Resources = Resources()
+    service: str = ""
 
 
 class WorkerCrashed(Message):
--- a/ragwortlug/restartable_model.py
+++ b/ragwortlug/restartable_model.py
@@ -250,6 +250,8 @@
         Expected run time on a worker of average speed.
     queue : str
         Name of the job's queue.
+    label : str
+        A label that the worker must have; empty for any worker.
     """
 
     number: int
@@ -261,6 +263,7 @@
     resources: Resources
     expected_ms: float
     queue: str = ""
+    label: str = ""
 
 
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/fake_processes.py
+++ b/tests/fake_processes.py
@@ -243,6 +243,10 @@
             if not self.worker.reachable:
                 answered(StartAnswer.REJECTED)
                 return
+            is_later_boot = order.boot != self.worker.boot_id
+            if is_later_boot and not self.play.faults.reaches_next_boot:
+                self.play.at(LOCAL_S, lambda: answered(StartAnswer.NOT_SENT))
+                return
             if self.play.crashes_worker(order.run):
                 delay_s = self.play.crash_delay_s
                 self.play.at(delay_s, lambda: self.play.crash_by_run(self, order.run))
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -29,7 +29,16 @@
 class FakeWorker:
     """A worker: leases, fencing tokens, lists; it guards no room."""
 
-    def __init__(self, play, name, room, speed=1.0, drift=1.0, data_centre="patan"):
+    def __init__(
+        self,
+        play,
+        name,
+        room,
+        speed=1.0,
+        drift=1.0,
+        data_centre="patan",
+        kinds=((SERVICE, ()),),
+    ):
         self.play = play
         self.name = name
         self.room = room
@@ -41,6 +50,8 @@
         self.born = play.now
         self.boots = 0
         self.up = True
+        # The service and the labels of each boot, in turn.
+        self.kinds = kinds
         self.stands = False
         # Connections are refused until then, though the worker runs on.
         self.refuses_until = 0.0
@@ -60,6 +71,16 @@
         self.lease_ms = 0
         self.waiting = []
 
+    @property
+    def kind(self):
+        """Return the service and the labels of this boot."""
+        return self.kinds[(self.boots - 1) % len(self.kinds)]
+
+    @property
+    def boot_id(self):
+        """Return the id and the start time that its reports give."""
+        return (self.name, int(self.born * 1000) + self.boots)
+
     @property
     def reachable(self):
         """Return whether a command reaches the worker."""
@@ -71,14 +92,14 @@
 
     def report(self, draining=False):
         """Return a status report."""
+        service, labels = self.kind
         return WorkerReport(
-            self.name,
-            int(self.born * 1000) + self.boots,
+            *self.boot_id,
             next(self.play.counter),
-            SERVICE,
+            service,
             "10.0.0.1:1",
             self.data_centre,
-            (),
+            labels,
             self.room,
             self.clock_ms(),
             draining,
@@ -157,7 +178,7 @@
             ListedRun(key[0], key[1], self.share(each))
             for key, each in self.running.items()
         )
-        born = int(self.born * 1000) + self.boots
+        born = self.boot_id[1]
         return WorkerSnapshot(self.clock_ms(), born, running, tuple(self.ended))
 
     def share(self, run):
--- a/tests/play.py
+++ b/tests/play.py
@@ -49,6 +49,8 @@
         Returns whether a message is lost; called with its body.
     travel_s : float
         Longest time that a command is on its way to a worker, beside the usual.
+    reaches_next_boot : bool
+        Whether a command on its way is carried out by the worker's next boot.
     is_cut : callable
         Returns whether messages are lost from a sender to a receiver, now; called with
         their names and the time.
@@ -60,6 +62,7 @@
     fail: float = 0.0
     loses_message: Callable[[object], bool] = lambda body: False
     travel_s: float = 0.0
+    reaches_next_boot: bool = True
     is_cut: Callable[[str, str, float], bool] = lambda sender, receiver, now: False
 
 
@@ -89,6 +92,9 @@
         Returns the work of a run in seconds at speed 1.
     data_centres : tuple of str
         Where the workers are, by turns.
+    kinds : tuple of (str, tuple of str)
+        Services and labels that each worker has in turn, in one boot after the other;
+        the first boots of the workers have them in turn too.
     max_per_worker : int
         How many tasks of each job may run on one worker at a time; 0 for no limit.
     on_event : callable
@@ -99,6 +105,7 @@
     faults: Faults = field(default_factory=Faults)
     settings: RestartSettings = field(default_factory=RestartSettings)
     data_centres: tuple[str, ...] = ("patan",)
+    kinds: tuple[tuple[str, tuple[str, ...]], ...] = ((SERVICE, ()),)
     max_per_worker: int = 0
     on_event: Callable[[str, Event], None] = lambda process, event: None
 
@@ -122,6 +129,8 @@
         self.crashing = set()
         # Seconds from the start of such a task until the crash.
         self.crash_delay_s = 0.01
+        # The label that a job requires, by job.
+        self.labels = {}
         # Moments at which a task has crashed a worker, by task.
         self.crashes = {}
         self.ran = set()
@@ -140,7 +149,10 @@
             drift = 1.0 - 0.02 * (each % 2)
             speed = speeds[each % len(speeds)]
             where = self.data_centres[each % len(self.data_centres)]
-            worker = FakeWorker(self, f"worker-{each}", room, speed, drift, where)
+            first = each % len(self.kinds)
+            kinds = (*self.kinds[first:], *self.kinds[:first])
+            name = f"worker-{each}"
+            worker = FakeWorker(self, name, room, speed, drift, where, kinds)
             self.agents.append(FakeAgent(self, f"agent-{each}", worker))
         return self
 
@@ -223,6 +235,10 @@
             other.lapse()
             if other.up and any(task == key[0] for task, _ in other.running):
                 self.broken.append(f"{self.now:.3f} twice: {key} on {other.name}")
+        service, labels = worker.kind
+        label = self.labels.get(key[0][0])
+        if service != SERVICE or (label and label not in labels):
+            self.broken.append(f"{self.now:.3f} kind: {key} on {worker.name}")
         self.ran.add(key[0][0])
         self.starts.append((self.now, worker.data_centre))
         beside = sum(1 for task, _ in worker.running if task[:2] == key[0][:2])
@@ -250,7 +266,9 @@
 
     # Callers.
 
-    def hand_in(self, kind, tasks, mean_s, cpu=6200, deadline_s=None, entry=None):
+    def hand_in(
+        self, kind, tasks, mean_s, cpu=6200, deadline_s=None, entry=None, label=""
+    ):
         """Let a caller hand in a job of a kind: 0 preview, 1 render, 2 stamp."""
         job_id = f"{self.rng.getrandbits(64):016x}"
         works = [mean_s * self.rng.uniform(0.85, 1.15) for _ in range(tasks)]
@@ -259,10 +277,14 @@
         aim_s = 1.6 * max(works) + 0.06
         limit_s = deadline_s if deadline_s is not None else 6 * aim_s
         entry = entry or self.rng.choice(self.homes)
-        return self.submit_job(kind, job_id, works, declared, room, limit_s, entry)
+        return self.submit_job(
+            kind, job_id, works, declared, room, limit_s, entry, label
+        )
 
-    def submit_job(self, kind, job_id, works, declared_ms, room, limit_s, entry):
-        """Let a caller submit a job of one step.
+    def submit_job(
+        self, kind, job_id, works, declared_ms, room, limit_s, entry, label=""
+    ):
+        """Let a caller submit a job of one step, which may require a label.
 
         Parameters
         ----------
@@ -273,7 +295,14 @@
         """
         for index, work_s in enumerate(works):
             self.work[(job_id, 0, index)] = work_s
-        step = Step(len(works), room, declared_ms, max_per_worker=self.max_per_worker)
+        self.labels[job_id] = label
+        step = Step(
+            len(works),
+            room,
+            declared_ms,
+            label=label,
+            max_per_worker=self.max_per_worker,
+        )
         job = RestartableJob(job_id, "spec", (step,))
         aim_s = 1.6 * max(works) + 0.06
         deadline = self.now + limit_s
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -1,10 +1,12 @@
 """Plays of workers that boot again under the same id at once."""
 
 import dataclasses
+import itertools
 
 import pytest
 
 from ragwortlug.codes import Code
+from tests.fake_worker import SERVICE
 from tests.play import Faults, Play
 from tests.test_restartable import assert_sound
 
@@ -13,21 +15,37 @@
 REST_S = 9.0
 
 
-def play_with(seed, faults, disturb, pause_s):
+def play_with(seed, faults, disturb, pause_s, kinds=((SERVICE, ()),), slow_s=0.0):
     """Return a play in which one of five workers after the other is disturbed.
 
     Parameters
     ----------
     disturb : callable
         Called with the play and an agent, about every `pause_s` seconds.
+    kinds : tuple of (str, tuple of str)
+        Services and labels that the workers' boots have in turn. Jobs require the
+        labels in turn.
+    slow_s : float
+        How late the first entry handles each message, in seconds.
     """
-    play = Play(seed=seed, faults=faults).build(3, 5, cpu=32_000)
+    play = Play(seed=seed, faults=faults, kinds=kinds).build(3, 5, cpu=32_000)
+    if slow_s:
+        play.slow_down(play.homes[0], slow_s)
+    required = itertools.cycle(
+        [label for _, labels in kinds for label in labels or [""]]
+    )
     play.run_until(0.5)
 
     def arrive():
         if play.now < UNTIL_S:
             tasks, work_s = ((8, 0.12), (3, 0.9), (2, 0.4))[play.rng.randrange(3)]
-            play.hand_in(play.rng.randrange(3), tasks, work_s, deadline_s=6.0)
+            play.hand_in(
+                play.rng.randrange(3),
+                tasks,
+                work_s,
+                deadline_s=6.0,
+                label=next(required),
+            )
             play.at(play.rng.expovariate(9.0), arrive)
 
     def disturb_one():
@@ -140,3 +158,21 @@
         play = play_with(seed, Faults(travel_s=0.01), delay_report, 0.3)
         assert_sound(play)
         assert served(play) > 0.7
+
+
+class TestBootsOfAnotherKind:
+    """A worker may boot again with another label, or for another service."""
+
+    FAULTS = Faults(travel_s=0.04, reaches_next_boot=False)
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_a_task_starts_only_where_its_label_is(self, seed):
+        """Guards against a start on a later boot that lacks the required label."""
+        kinds = ((SERVICE, ("a",)), (SERVICE, ("b",)))
+        assert_sound(play_with(seed, self.FAULTS, boot_again, 0.1, kinds, 0.03))
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_a_task_starts_only_at_its_service(self, seed):
+        """Guards against a start on a later boot that belongs to another service."""
+        kinds = ((SERVICE, ()), ("other", ()))
+        assert_sound(play_with(seed, self.FAULTS, boot_again, 0.1, kinds, 0.03))
--- a/tests/test_leased.py
+++ b/tests/test_leased.py
@@ -126,6 +126,35 @@
         assert told.free_resources == ROOM
 
 
+class TestOtherKinds:
+    """A dispatcher may choose the worker by the report of a former boot."""
+
+    @pytest.mark.parametrize(
+        ("service", "label", "starts"),
+        [
+            ("", "", True),
+            (REPORT.service, "a", True),
+            (REPORT.service, "b", False),
+            ("other", "", False),
+        ],
+    )
+    def test_a_run_that_the_current_boot_is_not_for_is_refused(
+        self, service, label, starts
+    ):
+        """Guards against a start on a worker of another kind than it was chosen for."""
+        agent = runner()
+        agent.on_report(dataclasses.replace(REPORT, sequence=2, labels=("a",)), 10.0)
+        agent.on_renewed(SENDER, Renewed(10_000), 10.0)
+        run = msgspec.structs.replace(RUN, label=label)
+        message = StartRuns(10_000, (run,), service=service)
+        effects = agent.on_start_runs(SENDER, message, 10.0)
+        assert any(isinstance(each, StartOnWorker) for each in effects) is starts
+        if not starts:
+            assert refusal(effects).ends == ((RUN.number, RunEnd.NO_RESOURCES, 0.0),)
+            assert refusal(effects).free_resources == Resources()
+            assert RequestRenewals() in effects
+
+
 class TestCopies:
     """An assignment that arrives twice starts one run."""
 
