Give leases and acknowledge ends only on connections to their boot

It gives that boot a lease, and acknowledges ends by the former one's numbers: the later boot, which counts anew, forgets ends that nobody has read, and the agent reports such a run as lost. Change: requests that give a lease or acknowledge ends go on a connection on which their boot has answered, like starts; on a new one the boot is asked first.

--- a/ragwortlug/errors.py
+++ b/ragwortlug/errors.py
@@ -68,7 +68,13 @@
     code = Code.NOTE_UNKNOWN
 
 
-class WorkerSilentError(RagwortlugError):
+class WorkerError(RagwortlugError):
+    """A call to a worker did not succeed."""
+
+    code = Code.TARGET_UNREACHABLE
+
+
+class WorkerSilentError(WorkerError):
     """A worker did not answer a call, but may have executed it.
 
     Attributes
@@ -77,20 +83,30 @@
         Whether its port refused the connection.
     """
 
-    code = Code.TARGET_UNREACHABLE
-
     def __init__(self, detail, refused=False):
         self.refused = refused
         super().__init__(detail)
 
 
-class WorkerReplacedError(RagwortlugError):
-    """Another boot answered a call to a worker and did not execute it."""
+class WorkerReplacedError(WorkerError):
+    """A boot with another id answered a call to a worker and did not execute it."""
 
-    code = Code.TARGET_UNREACHABLE
+
+class WorkerRebootedError(WorkerError):
+    """Another boot with the same id answers; the call was not made.
+
+    Attributes
+    ----------
+    snapshot : WorkerSnapshot
+        The answer of that boot.
+    """
+
+    def __init__(self, detail, snapshot):
+        self.snapshot = snapshot
+        super().__init__(detail)
 
 
-class WorkerFencedError(RagwortlugError):
+class WorkerFencedError(WorkerError):
     """A worker rejected a call; it accepts only a higher fencing token.
 
     Attributes
--- a/ragwortlug/jobs/worker_calls.py
+++ b/ragwortlug/jobs/worker_calls.py
@@ -140,6 +140,14 @@
     least_clock_ms: int
     lease_until_ms: int | None
 
+    @property
+    def is_neutral(self):
+        """Return whether it gives no lease and acknowledges no end.
+
+        Any boot may get such a request.
+        """
+        return self.lease_until_ms is None and not self.last_end_number
+
 
 @dataclass(frozen=True, slots=True)
 class StartOnWorker:
--- a/ragwortlug/platform/worker.py
+++ b/ragwortlug/platform/worker.py
@@ -9,7 +9,9 @@
 
 from ragwortlug.errors import (
     RequestError,
+    WorkerError,
     WorkerFencedError,
+    WorkerRebootedError,
     WorkerReplacedError,
     WorkerSilentError,
 )
@@ -87,8 +89,9 @@
 class WorkerClient:
     """Calls the worker beside the agent.
 
-    The worker may boot again under its id and address, with other labels. A start is
-    therefore sent on a connection on which the boot that it is for has answered.
+    The worker may boot again under its id and address, with other labels. So starts,
+    leases and acknowledgements of ends are sent on connections on which the boot that
+    they are for has answered.
 
     Parameters
     ----------
@@ -122,8 +125,8 @@
             "fencing_token": command.fencing_token,
         }
         try:
-            status, raw = await self._post_start(worker, command, body)
-        except (WorkerSilentError, WorkerReplacedError, WorkerFencedError) as error:
+            status, raw = await self._post_to_boot(worker, command, START_PATH, body)
+        except WorkerError as error:
             log.warning("A start was not sent to the worker: {}.", error)
             refused = isinstance(error, WorkerSilentError) and error.refused
             return (StartAnswer.REJECTED if refused else StartAnswer.NOT_SENT), None
@@ -151,7 +154,7 @@
             "fencing_token": command.fencing_token,
         }
         try:
-            _, status, _ = await self._post(worker, STOP_PATH, body)
+            status, _ = await self._post(worker, STOP_PATH, body)
         except _NO_ANSWER_ERRORS as error:
             log.warning("No answer from the worker to a stop: {!r}.", error)
             return False
@@ -177,61 +180,76 @@
         if request.lease_until_ms is not None:
             body["deadline_ms"] = request.lease_until_ms
         try:
-            connection, status, raw = await self._post(worker, HOLD_PATH, body, wait_ms)
+            if request.is_neutral:
+                answer = await self._post(worker, HOLD_PATH, body, wait_ms)
+            else:
+                answer = await self._post_to_boot(
+                    worker, request, HOLD_PATH, body, wait_ms
+                )
+        except WorkerRebootedError as error:
+            return error.snapshot
         except _NO_ANSWER_ERRORS as error:
             raise WorkerSilentError(repr(error), _is_refused(error)) from error
-        snapshot = _snapshot_in(worker, status, raw)
-        if snapshot.booted_at_ms:
-            connection.process = (worker.id, snapshot.booted_at_ms)
-        return snapshot
+        return _snapshot_in(worker, answer)
+
+    async def _post_to_boot(self, worker, command, path, body, wait_ms=0):
+        """Make a call on a connection on which its boot has answered.
 
-    async def _post_start(self, worker, command, body):
-        """Send a start on a connection to its boot; return the status and the body.
+        Parameters
+        ----------
+        command : StartOnWorker or SnapshotRequest
+            What the call is for; it gives the boot, the fencing token and the least
+            clock of the boot.
 
         Raises
         ------
-        WorkerSilentError, WorkerReplacedError, WorkerFencedError
-            The boot did not answer on a new connection; the start was not sent.
+        WorkerRebootedError, WorkerSilentError, WorkerReplacedError, WorkerFencedError
+            The boot did not answer on a new connection; the call was not made.
         """
         while True:
-            verified = False
+            is_new = False
             try:
                 async with self._connections.take(
                     worker.address, command.boot
                 ) as connection:
                     if connection.process is None:
+                        is_new = True
                         await self._verify_boot(connection, worker, command)
-                        verified = True
-                    return await self._call(connection, worker, START_PATH, body)
+                    return await self._call(connection, worker, path, body, wait_ms)
             except ConnectionEndedError as error:
-                if verified:
+                if is_new:
                     raise WorkerSilentError(repr(error)) from error
 
     async def _verify_boot(self, connection, worker, command):
-        """Check that a new connection reaches the boot that a start is for.
+        """Check that a new connection reaches the boot of a command.
 
-        The look gives no lease, and takes note of no end.
+        The request gives no lease and acknowledges no end.
         """
         body = {"fencing_token": command.fencing_token, "last_seen": 0}
         try:
-            status, raw = await self._call(connection, worker, HOLD_PATH, body)
+            answer = await self._call(connection, worker, HOLD_PATH, body)
         except _NO_ANSWER_ERRORS as error:
             raise WorkerSilentError(repr(error), _is_refused(error)) from error
-        snapshot = _snapshot_in(worker, status, raw)
+        snapshot = _snapshot_in(worker, answer)
         is_other = snapshot.clock_ms < command.least_clock_ms
         if snapshot.booted_at_ms:
             is_other = snapshot.booted_at_ms != command.boot[1]
         if is_other:
-            raise WorkerReplacedError(f"{worker.id} has booted again")
+            raise WorkerRebootedError(f"{worker.id} has booted again", snapshot)
         connection.process = command.boot
 
     async def _post(self, worker, path, body, wait_ms=0):
-        """Make one call; return its connection, the status and the body."""
+        """Make one call on any connection; return the status and the body.
+
+        A snapshot in the answer tells which boot the connection reaches.
+        """
         while True:
             with contextlib.suppress(ConnectionEndedError):
                 async with self._connections.take(worker.address) as connection:
                     answer = await self._call(connection, worker, path, body, wait_ms)
-                    return connection, *answer
+                    if connection.process is None and path == HOLD_PATH:
+                        connection.process = _boot_in(worker, answer)
+                    return answer
 
     async def _call(self, connection, worker, path, body, wait_ms=0):
         """Make one call on a connection; return the status and the body."""
@@ -244,11 +262,13 @@
         return await connection.post(path, _encoder.encode(body), headers, timeout_s)
 
 
-def _snapshot_in(worker, status, raw):
+def _snapshot_in(worker, answer):
     """Return the `WorkerSnapshot` in an answer, or raise the error that it stands for.
 
-    The errors are those of `WorkerClient.request_snapshot`.
+    The errors are those of `WorkerClient.request_snapshot`; `answer` is a status and
+    a body.
     """
+    status, raw = answer
     if status == HTTP_OTHER_BOOT:
         raise WorkerReplacedError(f"{worker.id} is not the id of the worker")
     if status == HTTP_CONFLICT:
@@ -262,6 +282,15 @@
         raise WorkerSilentError(repr(error)) from error
 
 
+def _boot_in(worker, answer):
+    """Return the id of the boot that gave a snapshot, or None if it does not say."""
+    try:
+        booted_at_ms = _snapshot_in(worker, answer).booted_at_ms
+    except WorkerError:
+        return None
+    return (worker.id, booted_at_ms) if booted_at_ms else None
+
+
 def _is_refused(error):
     """Return whether the port of the worker refused the connection.
 
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -26,6 +26,8 @@
     ----------
     calls : list of str
         The last part of each call's path.
+    bodies : list of dict
+        The bodies of the requests for a snapshot.
     closes : bool
         Whether it closes the connection after each answer.
     """
@@ -38,6 +40,7 @@
         self._lists = lists
         self._runner = None
         self.calls = []
+        self.bodies = []
         self.closes = False
 
     async def listen(self, port):
@@ -61,6 +64,7 @@
 
     async def _on_hold(self, request):
         self.calls.append("hold")
+        self.bodies.append(await request.json())
         return self._answered(web.json_response(self._lists))
 
     def _answered(self, response):
@@ -171,6 +175,30 @@
         assert "run-start" not in calls
         assert answer == (StartAnswer.NOT_SENT, None)
 
+    def test_a_later_boot_gets_no_lease_and_keeps_its_ends(self):
+        """Guards against ends that a later boot forgets before anyone has read them."""
+        request = dataclasses.replace(
+            self.SNAPSHOT, last_end_number=57, lease_until_ms=900
+        )
+
+        async def play(client, worker, port):
+            former, later = Boot(REPORT.booted_at_ms), Boot(REPORT.booted_at_ms + 1)
+            await former.listen(port)
+            await client.request_snapshot(worker, request, 0)
+            await former.end()
+            await later.listen(port)
+            try:
+                snapshot = await client.request_snapshot(worker, request, 0)
+            finally:
+                await later.end()
+            return snapshot, former.bodies, later.bodies
+
+        snapshot, to_former, to_later = with_client(play)
+        assert [each["last_seen"] for each in to_former][-1:] == [57]
+        assert [each["last_seen"] for each in to_later] == [0]
+        assert not any("deadline_ms" in each for each in to_later)
+        assert snapshot.booted_at_ms == REPORT.booted_at_ms + 1
+
     def test_a_start_is_not_sent_without_an_answer_of_its_boot(self):
         """Guards against a start on a connection whose other end is not known."""
 
