Name the process of the target in each task that is sent to it

Cause: a target that restarts under its address is taken for the former one until it announces itself, so a task may start on one of another service. Change: a task carries the instance of the announcement that it was checked against; a target that is another instance refuses with status 421, which ends the start as not run, code 154. The stand-in does so. A target that ignores the field behaves as before.

--- a/ragwortlug/codes.py
+++ b/ragwortlug/codes.py
@@ -119,6 +119,12 @@
         "The entry has more work than its processor can handle.",
     )
     UNSUPPORTED = 153, Verdict.NOT_RUN, 503, "The job needs what isn't supported."
+    TARGET_REPLACED = (
+        154,
+        Verdict.NOT_RUN,
+        503,
+        "A new process answers at the address of the target.",
+    )
 
     # Work that started and did not succeed.
     TASK_FAILED = 200, Verdict.FAILED, 500, "The task ran and failed."
--- a/ragwortlug/io/targets.py
+++ b/ragwortlug/io/targets.py
@@ -3,7 +3,9 @@
 Each task is sent with the time before which it must start, on the wall clock that
 the agent and its target share on their VM. A target that receives it later refuses
 it, so a pause between the agent's last check and the target's start can't extend
-beyond the agent's permission.
+beyond the agent's permission. The task also names the target's process, by the
+`instance` of its announcement: a new process at the same address, which may be of
+another service, refuses it with status 421.
 """
 
 import asyncio
@@ -27,6 +29,7 @@
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 1.0
 STOP_RETRY_INTERVAL_S = 0.05
+HTTP_OTHER_INSTANCE = 421
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +127,7 @@
         remaining_s = self._confirm_s - self._view.age_s(now)
         body = {
             "id": task_id(start.key),
+            "instance": start.instance,
             "job": grant.job_id,
             "index": grant.index,
             "team": grant.team,
@@ -189,6 +193,8 @@
             self._calls.discard(body["id"])
         if response.status == Code.LEASE_TOO_LATE.http_status:
             return NotStarted(Code.LEASE_TOO_LATE)
+        if response.status == HTTP_OTHER_INSTANCE:
+            return NotStarted(Code.TARGET_REPLACED)
         reply = _reply_decoder.decode(raw)
         if response.status == 200:
             check_plain_value(reply.result)
--- a/ragwortlug/jobs/runner.py
+++ b/ragwortlug/jobs/runner.py
@@ -28,11 +28,15 @@
 
 
 class StartTask(msgspec.Struct, frozen=True):
-    """An effect: start the granted task on the target."""
+    """An effect: start the granted task on the target.
+
+    `instance` identifies the target's process, which the grant was checked against.
+    """
 
     key: GrantKey
     grant: Grant
     url: str
+    instance: str
 
 
 class StopTask(msgspec.Struct, frozen=True):
@@ -164,7 +168,8 @@
             running=len(self._running),
             slots=size,
         )
-        return [StartTask(key, grant, target.url), *self._request_work(now)]
+        start = StartTask(key, grant, target.url, target.instance)
+        return [start, *self._request_work(now)]
 
     def on_waiting(self, sender, message, now):
         """Record the waiting tasks of a home."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -134,6 +134,8 @@
     async def _run(self, request):
         """Serve a request to run a task."""
         body = await request.json()
+        if body.get("instance", self._instance) != self._instance:
+            return web.json_response({"error": "another instance"}, status=421)
         now_ms = time.time() * 1000
         if now_ms > body["start_before_ms"]:
             self.late_refusals += 1
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -8,7 +8,8 @@
 from ragwortlug.codes import Code
 from ragwortlug.io.targets import TargetClient
 from ragwortlug.timer import Timer
-from standins.site import SitePlan
+from standins.site import HOST, SitePlan
+from standins.target import TargetStandin
 from tests.test_path import starts, with_site
 
 BOUND_S = 4.0
@@ -66,6 +67,23 @@
 
         with_site(scenario, PLAN)
 
+    def test_target_that_has_not_announced_itself_gets_no_task_for_the_former_one(self):
+        """Guards against a task on a target that was restarted for another service."""
+
+        async def scenario(site, client):
+            crashed = site.targets.pop(0)
+            await crashed.stop(graceful=False)
+            capacity = PLAN.capacity() | {"services": ["other"]}
+            port = PLAN.target_port(0)
+            agent_url = PLAN.url_of("agent-1")
+            restarted = TargetStandin(f"http://{HOST}:{port}", agent_url, capacity)
+            await restarted.start(HOST, port, announce=False)
+            site.targets.append(restarted)
+            assert set(await run_jobs(client, 12)) == {Code.OK}
+            assert not restarted.starts
+
+        with_site(scenario, PLAN)
+
     def test_flapping_target_never_doubles_a_start(self):
         async def scenario(site, client):
             flapping = site.targets[0]
