Let workers boot again with another label in the soak of processes

Change: the kind change_worker, drawn by name only, lets an idle worker crash and boot with the other label and report 0.5 s late, while jobs require a label; the witness checks starts. Seeds of other kinds draw as before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -208,6 +208,8 @@
         Rate of the worker's monotonic clock; 1.0 is the true rate.
     downtime_s : float
         Time for which it is down after a crash.
+    first_report_s : float
+        Time from the opening of its port to the first report of a boot.
     """
 
     dropped_start_replies: int = 0
@@ -218,6 +220,7 @@
     list_delay_s: Callable[[], float] | None = None
     clock_rate: float = 1.0
     downtime_s: float = 1.0
+    first_report_s: float = 0.0
 
 
 class PlatformWorker:
@@ -241,6 +244,8 @@
     ----------
     faults : WorkerFaults
         The simulated faults.
+    labels : tuple of str
+        Its kind and its rack.
     starts : list of (str, int)
         Task and run number of every start.
     peak_running : int
@@ -260,6 +265,7 @@
         self.id = "i-1"
         self.state = "ready"
         self.faults = WorkerFaults()
+        self.labels = ("a", "r1-1")
         self.drain_confirmed_at = None
         self.starts = []
         self.peak_running = 0
@@ -371,6 +377,7 @@
 
     async def _report(self):
         """Report to the agent periodically."""
+        await asyncio.sleep(self.faults.first_report_s)
         async with aiohttp.ClientSession() as session:
             while True:
                 await self._resumed.wait()
@@ -383,7 +390,7 @@
                     "state": self.state,
                     "cold_remaining_ms": 0,
                     "capacity": CAPACITY,
-                    "labels": ["a", "r1-1"],
+                    "labels": self.labels,
                     "clock_ms": self._clock_ms(),
                     "sequence": next(self._sequence),
                     "born": self.booted_at_ms,
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -73,6 +73,8 @@
         it asks the next one, instead of `RETRY_S`.
     on_leaving : list of callable
         Called with an entry's name just before a caller leaves it without an answer.
+    labels : list of str
+        The labels that jobs require, by their ids; empty for none.
     """
 
     def __init__(self, site):
@@ -85,6 +87,7 @@
         self.statuses = []
         self.pauses = {}
         self.on_leaving = []
+        self.labels = []
 
     async def start(self):
         """Open the connections."""
@@ -120,7 +123,10 @@
         kind = rng.choices(kinds, [each.weight for each in kinds])[0]
         spec = f"{kind.run_s * rng.uniform(0.5, 1.5):.3f}"
         name = f"{rng.getrandbits(64):016x}"
-        job = Job(name, spec, rng.randint(1, kind.tasks), 6000, kind.deadline_s)
+        tasks = rng.randint(1, kind.tasks)
+        # Without a draw, so that seeds without labels stay what they are.
+        label = self.labels[int(name, 16) % len(self.labels)] if self.labels else ""
+        job = Job(name, spec, tasks, 6000, kind.deadline_s, label)
         self._witness.jobs[job.id] = job
         entries = list(self._site.entries)
         rng.shuffle(entries)
@@ -174,6 +180,8 @@
             "mem_mb": 64,
             "estimate_ms": int(float(job.spec) * 1000),
         }
+        if job.label:
+            step["requires"] = job.label
         body = {"spec": job.spec, "best_effort": True, "steps": [step]}
         headers = {
             "Host": HOST_NAME,
--- a/tests/faults/trouble.py
+++ b/tests/faults/trouble.py
@@ -27,6 +27,8 @@
 RESTARTED_S = (0.1, 0.3)
 LATE_LISTS_S = (0.0, 0.3)
 EARLY_RETURN_S = (0.002, 0.1)
+LABELS = ("a", "b")
+FIRST_REPORT_S = 0.5
 
 
 def _anyone(site, rng):
@@ -409,6 +411,24 @@
     over()
 
 
+async def change_worker(site, callers, rng, for_s):
+    """Let a worker crash and boot again with the other label; jobs require them.
+
+    Its boots report late meanwhile, and it is idle if one is, so that its agent doesn't
+    notice the crash by a run.
+    """
+    workers = list(site.workers.values())
+    worker = rng.choice([each for each in workers if not each.running] or workers)
+    kind, rack = worker.labels
+    callers.labels += LABELS
+    worker.faults.first_report_s = FIRST_REPORT_S
+    worker.labels = (LABELS[1 - LABELS.index(kind)], rack)
+    await worker.crash(rng.uniform(*WORKER_DOWN_S))
+    await asyncio.sleep(for_s)
+    worker.faults.first_report_s = 0.0
+    del callers.labels[: len(LABELS)]
+
+
 async def refuse_worker(site, _callers, rng, for_s):
     """Reset a worker's connections and refuse new ones while its runs go on."""
     name = rng.choice(site.agents)
@@ -614,6 +634,7 @@
     restart_beside_silence,
     late_lists,
     drop_some_callers,
+    change_worker,
 )
 KINDS = (
     *GENERAL_KINDS,
--- a/tests/faults/witness.py
+++ b/tests/faults/witness.py
@@ -49,13 +49,20 @@
 
 @dataclass
 class Job:
-    """What a caller has handed in, and what was seen of it."""
+    """What a caller has handed in, and what was seen of it.
+
+    Attributes
+    ----------
+    label : str
+        A label that its workers must have; empty for any worker.
+    """
 
     id: str
     spec: str
     tasks: int
     cpu: int
     deadline_s: float
+    label: str = ""
     attempts: list = field(default_factory=list)
     starts: int = 0
     done: set = field(default_factory=set)
@@ -170,6 +177,9 @@
         job.starts += 1
         self._check_single(worker, task, order["run_id"])
         self._check_room(worker)
+        if job.label and job.label not in worker.labels:
+            facts = {"label": job.label, "labels": worker.labels}
+            self.break_promise("label", worker=worker.name, task=task, **facts)
         self._check_orders(worker, job, task)
 
     def _check_single(self, worker, task, own_attempt):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -26,11 +26,13 @@
 # who connects, which cost more with each connection that timed out.
 # 9240: entries went on with jobs whose callers had left unseen and asked elsewhere.
 # 9181: one refused connection counted as the end of a worker's runs.
+# 57001: starts reached the boot after the one that they were for, of another label.
 SEEDS = (
     (2, trouble.GENERAL_KINDS),
     (107, trouble.GENERAL_KINDS),
     (9240, trouble.CALLER_KINDS),
     (9181, trouble.WORKER_KINDS),
+    (57001, (trouble.change_worker,)),
 )
 
 
