Close connections that are returned to a pool after its end

Cause: a call that outlasts the client's stop returned its connection to the pool, which nobody closed any more. Found in reading the change. Change: a closed pool closes what is returned to it. A test of the pool itself.

--- a/ragwortlug/io/process_connections.py
+++ b/ragwortlug/io/process_connections.py
@@ -93,6 +93,7 @@
     def __init__(self, keepalive_s):
         self._keepalive_s = keepalive_s
         self._idle = []
+        self._closed = False
 
     @contextlib.asynccontextmanager
     async def take(self, address, process=None):
@@ -109,12 +110,16 @@
         except BaseException:
             await connection.close()
             raise
+        if self._closed:
+            await connection.close()
+            return
         connection.last_used_at = Timer.monotonic()
         self._idle.append(connection)
         await self._close_expired()
 
     async def close(self):
-        """Close all idle connections."""
+        """Close the idle connections now, and the others when they are returned."""
+        self._closed = True
         idle, self._idle = self._idle, []
         for connection in idle:
             await connection.close()
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import web
 
+from ragwortlug.io.process_connections import ProcessConnections
 from ragwortlug.jobs.worker_calls import (
     SnapshotRequest,
     StartAnswer,
@@ -248,6 +249,34 @@
         assert answer is StartAnswer.STARTED
         assert calls == ["hold", "hold", "run-start"]
 
+    def test_connections_of_other_processes_are_not_lent_and_old_ones_are_closed(self):
+        """Guards against calls to a former boot, and connections that pile up."""
+
+        async def play(client, worker, port):
+            boot = Boot(REPORT.booted_at_ms)
+            await boot.listen(port)
+            connections = ProcessConnections(60.0)
+            address = worker.address
+            try:
+                async with connections.take(address) as first:
+                    first.process = "former"
+                async with connections.take(address, "later") as second:
+                    assert second is not first
+                async with connections.take(address, "former") as third:
+                    assert third is first
+                second.last_used_at = first.last_used_at = float("-inf")
+                async with connections.take("127.0.0.1:1") as other:
+                    pass
+                async with connections.take(address) as fourth:
+                    assert fourth not in (first, second)
+                async with connections.take("127.0.0.1:1") as fifth:
+                    assert fifth is other
+                    await connections.close()
+            finally:
+                await boot.end()
+
+        with_client(play)
+
     def test_a_start_is_given_up_if_no_connection_stays_open(self):
         """Guards against an endless loop at a worker that closes every connection."""
 
