Start the soak's processes with reloads not ignored

Cause: the script was started by nohup. A signal that is ignored is ignored in child processes too, so SIGHUP could not end the process, whatever the load. Change: programs of the soak are started with the default action of SIGHUP. The check stays. Result: a test that ignores SIGHUP fails before and passes now; the tests of reloads pass under nohup and without it.

--- a/tests/faults/programs.py
+++ b/tests/faults/programs.py
@@ -102,14 +102,19 @@
 
     async def _launch(self):
         """Start the process once."""
-        self._process = await asyncio.create_subprocess_exec(
-            *self._command,
-            *self._arguments,
-            cwd=ROOT,
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-        )
+        # A signal that is ignored here, as under nohup, would be ignored there too.
+        handler = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        try:
+            self._process = await asyncio.create_subprocess_exec(
+                *self._command,
+                *self._arguments,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+            )
+        finally:
+            signal.signal(signal.SIGHUP, handler)
         copy = asyncio.create_task(self._copy(self._process.stdout))
         self._copies.add(copy)
         copy.add_done_callback(self._copies.discard)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -118,6 +118,15 @@
     def test_an_end_by_a_reload_counts_after_a_kill(self, tmp_path, program, ends):
         assert asyncio.run(own_ends(program, tmp_path)) == ends
 
+    def test_an_end_by_a_reload_counts_where_reloads_are_ignored(self, tmp_path):
+        """Guards against processes that a soak under nohup can't end by SIGHUP."""
+        handler = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        try:
+            ends = asyncio.run(own_ends(FragileProgram, tmp_path))
+        finally:
+            signal.signal(signal.SIGHUP, handler)
+        assert ends == [-signal.SIGHUP]
+
 
 class TestWorkers:
     """Workers fail towards their agents as processes do."""
