Shorten the tests of the worker's client

Change: boots are context managers, the pool has a test class of its own, and says whether a connection was closed; the checks are the same, and the last one of the pool is new.

--- a/ragwortlug/io/process_connections.py
+++ b/ragwortlug/io/process_connections.py
@@ -51,6 +51,11 @@
             trace_configs=[trace],
         )
 
+    @property
+    def closed(self):
+        """Return whether it was closed here."""
+        return self._session.closed
+
     async def post(self, path, data, headers, timeout_s):
         """Send a request; return the status and the body of the response.
 
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -1,6 +1,7 @@
 """What the answers of a worker to its agent's calls prove, through real sockets."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 import pytest
@@ -39,24 +40,24 @@
         if born:
             lists["born"] = born
         self._lists = lists
-        self._runner = None
         self.calls = []
         self.bodies = []
         self.closes = False
 
-    async def listen(self, port):
-        """Start listening."""
+    @contextlib.asynccontextmanager
+    async def at(self, worker):
+        """Listen at a worker's address; close the connections at the end."""
         app = web.Application()
         app.router.add_post("/api/run-start", self._on_start)
         app.router.add_post("/api/hold", self._on_hold)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, HOST, port, reuse_address=True).start()
-
-    async def end(self):
-        """Close the connections and stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        port = int(worker.address.rpartition(":")[2])
+        await web.TCPSite(runner, HOST, port, reuse_address=True).start()
+        try:
+            yield self
+        finally:
+            await runner.cleanup()
 
     async def _on_start(self, request):
         self.calls.append("run-start")
@@ -75,7 +76,7 @@
 
 
 def with_client(play):
-    """Return the result of ``play(client, worker, port)``."""
+    """Return the result of ``play(client, worker)``."""
 
     async def body_of_test():
         (port,) = free_ports(1)
@@ -83,24 +84,21 @@
         await client.start()
         worker = type("Worker", (), {"address": f"{HOST}:{port}", "id": "i-1"})
         try:
-            return await play(client, worker, port)
+            return await play(client, worker)
         finally:
             await client.stop()
 
     return asyncio.run(body_of_test())
 
 
-def answer_to_start(status, body, listens=True):
-    """Return the client's result of a start that is answered with a status and body."""
+def answer_to_start(boot, command=COMMAND):
+    """Return the client's result of a start at a boot, or where nothing listens."""
 
-    async def play(client, worker, port):
-        boot = Boot(REPORT.booted_at_ms, (status, body))
-        if listens:
-            await boot.listen(port)
-        try:
-            return await client.start_run(worker, COMMAND)
-        finally:
-            await boot.end()
+    async def play(client, worker):
+        if boot is None:
+            return await client.start_run(worker, command)
+        async with boot.at(worker):
+            return await client.start_run(worker, command)
 
     return with_client(play)
 
@@ -126,10 +124,11 @@
     def test_only_a_rejection_proves_that_a_run_did_not_start(
         self, status, body, answer
     ):
-        assert answer_to_start(status, body)[0] is answer
+        boot = Boot(REPORT.booted_at_ms, (status, body))
+        assert answer_to_start(boot)[0] is answer
 
     def test_a_refused_connection_proves_that_a_run_did_not_start(self):
-        assert answer_to_start(200, b"", listens=False) == (StartAnswer.REJECTED, None)
+        assert answer_to_start(None) == (StartAnswer.REJECTED, None)
 
     @pytest.mark.parametrize(
         ("body", "clock"),
@@ -145,7 +144,8 @@
         ],
     )
     def test_the_clock_in_an_answer(self, body, clock):
-        assert answer_to_start(200, body) == (StartAnswer.STARTED, clock)
+        boot = Boot(REPORT.booted_at_ms, (200, body))
+        assert answer_to_start(boot) == (StartAnswer.STARTED, clock)
 
 
 class TestBootsAtOneAddress:
@@ -159,17 +159,12 @@
     ):
         """Guards against a start on a later boot without the label that a job needs."""
 
-        async def play(client, worker, port):
-            former, later = Boot(REPORT.booted_at_ms), Boot(REPORT.booted_at_ms + 1)
-            await former.listen(port)
-            if is_connected:
-                await client.request_snapshot(worker, self.SNAPSHOT, 0)
-            await former.end()
-            await later.listen(port)
-            try:
+        async def play(client, worker):
+            async with Boot(REPORT.booted_at_ms).at(worker) as former:
+                if is_connected:
+                    await client.request_snapshot(worker, self.SNAPSHOT, 0)
+            async with Boot(REPORT.booted_at_ms + 1).at(worker) as later:
                 answer = await client.start_run(worker, COMMAND)
-            finally:
-                await later.end()
             return answer, former.calls + later.calls
 
         answer, calls = with_client(play)
@@ -182,16 +177,11 @@
             self.SNAPSHOT, last_end_number=57, lease_until_ms=900
         )
 
-        async def play(client, worker, port):
-            former, later = Boot(REPORT.booted_at_ms), Boot(REPORT.booted_at_ms + 1)
-            await former.listen(port)
-            await client.request_snapshot(worker, request, 0)
-            await former.end()
-            await later.listen(port)
-            try:
+        async def play(client, worker):
+            async with Boot(REPORT.booted_at_ms).at(worker) as former:
+                await client.request_snapshot(worker, request, 0)
+            async with Boot(REPORT.booted_at_ms + 1).at(worker) as later:
                 snapshot = await client.request_snapshot(worker, request, 0)
-            finally:
-                await later.end()
             return snapshot, former.bodies, later.bodies
 
         snapshot, to_former, to_later = with_client(play)
@@ -202,29 +192,18 @@
 
     def test_a_start_is_not_sent_without_an_answer_of_its_boot(self):
         """Guards against a start on a connection whose other end is not known."""
-
-        async def play(client, worker, port):
-            boot = Boot(REPORT.booted_at_ms, clock_ms="7")
-            await boot.listen(port)
-            try:
-                return await client.start_run(worker, COMMAND), boot.calls
-            finally:
-                await boot.end()
-
-        assert with_client(play) == ((StartAnswer.NOT_SENT, None), ["hold"])
+        boot = Boot(REPORT.booted_at_ms, clock_ms="7")
+        assert answer_to_start(boot) == (StartAnswer.NOT_SENT, None)
+        assert boot.calls == ["hold"]
 
     def test_starts_on_an_open_connection_ask_nothing_further(self):
         """Guards against a price of each start in calls and connections."""
 
-        async def play(client, worker, port):
-            boot = Boot(REPORT.booted_at_ms)
-            await boot.listen(port)
-            try:
+        async def play(client, worker):
+            async with Boot(REPORT.booted_at_ms).at(worker) as boot:
                 await client.request_snapshot(worker, self.SNAPSHOT, 0)
                 for _ in range(3):
                     await client.start_run(worker, COMMAND)
-            finally:
-                await boot.end()
             return boot.calls
 
         assert with_client(play) == ["hold"] + ["run-start"] * 3
@@ -234,62 +213,23 @@
     ):
         """Guards against starts that fail after a worker closed an idle connection."""
 
-        async def play(client, worker, port):
-            boot = Boot(REPORT.booted_at_ms)
-            await boot.listen(port)
-            try:
+        async def play(client, worker):
+            async with Boot(REPORT.booted_at_ms).at(worker) as boot:
                 boot.closes = True
                 await client.request_snapshot(worker, self.SNAPSHOT, 0)
                 boot.closes = False
                 return await client.start_run(worker, COMMAND), boot.calls
-            finally:
-                await boot.end()
 
         (answer, _), calls = with_client(play)
         assert answer is StartAnswer.STARTED
         assert calls == ["hold", "hold", "run-start"]
 
-    def test_connections_of_other_processes_are_not_lent_and_old_ones_are_closed(self):
-        """Guards against calls to a former boot, and connections that pile up."""
-
-        async def play(client, worker, port):
-            boot = Boot(REPORT.booted_at_ms)
-            await boot.listen(port)
-            connections = ProcessConnections(60.0)
-            address = worker.address
-            try:
-                async with connections.take(address) as first:
-                    first.process = "former"
-                async with connections.take(address, "later") as second:
-                    assert second is not first
-                async with connections.take(address, "former") as third:
-                    assert third is first
-                second.last_used_at = first.last_used_at = float("-inf")
-                async with connections.take("127.0.0.1:1") as other:
-                    pass
-                async with connections.take(address) as fourth:
-                    assert fourth not in (first, second)
-                async with connections.take("127.0.0.1:1") as fifth:
-                    assert fifth is other
-                    await connections.close()
-            finally:
-                await boot.end()
-
-        with_client(play)
-
     def test_a_start_is_given_up_if_no_connection_stays_open(self):
         """Guards against an endless loop at a worker that closes every connection."""
-
-        async def play(client, worker, port):
-            boot = Boot(REPORT.booted_at_ms)
-            boot.closes = True
-            await boot.listen(port)
-            try:
-                return await client.start_run(worker, COMMAND), boot.calls
-            finally:
-                await boot.end()
-
-        assert with_client(play) == ((StartAnswer.NOT_SENT, None), ["hold"])
+        boot = Boot(REPORT.booted_at_ms)
+        boot.closes = True
+        assert answer_to_start(boot) == (StartAnswer.NOT_SENT, None)
+        assert boot.calls == ["hold"]
 
     @pytest.mark.parametrize(
         ("least_clock_ms", "answer"),
@@ -299,14 +239,30 @@
         self, least_clock_ms, answer
     ):
         """Guards against a start on a boot whose clock shows that it is a later one."""
+        command = dataclasses.replace(COMMAND, least_clock_ms=least_clock_ms)
+        assert answer_to_start(Boot(0), command)[0] is answer
 
-        async def play(client, worker, port):
-            boot = Boot(0)
-            await boot.listen(port)
-            command = dataclasses.replace(COMMAND, least_clock_ms=least_clock_ms)
-            try:
-                return await client.start_run(worker, command)
-            finally:
-                await boot.end()
 
-        assert with_client(play)[0] is answer
+class TestPool:
+    def test_connections_to_other_processes_are_not_lent_and_old_ones_are_closed(self):
+        """Guards against calls to a former boot, and connections that pile up."""
+
+        async def play():
+            pool = ProcessConnections(60.0)
+            async with pool.take("10.1.0.2:80") as first:
+                first.process = "former"
+            async with pool.take("10.1.0.2:80", "later") as second:
+                assert second is not first
+            async with pool.take("10.1.0.2:80", "former") as third:
+                assert third is first
+            second.last_used_at = first.last_used_at = float("-inf")
+            async with pool.take("10.1.0.3:80") as other:
+                pass
+            async with pool.take("10.1.0.2:80") as fourth:
+                assert fourth not in (first, second)
+            async with pool.take("10.1.0.3:80") as fifth:
+                assert fifth is other
+                await pool.close()
+            assert fifth.closed
+
+        asyncio.run(play())
