--- a/ragwortlug/io/process_connections.py
+++ b/ragwortlug/io/process_connections.py
@@ -1,8 +1,8 @@
 """Persistent HTTP connections, each of which reaches one process only.
 
 Only the process that accepted a connection reads what is sent on it. A process that
-starts later at the same address resets it. So what a process has said of itself on a
-connection holds for whoever gets the next request on it. This needs a server that keeps
+starts later at the same address resets it. So a process that has identified itself on a
+connection is the one that gets the next request on it. This needs a server that keeps
 connections open between requests, and no HTTP proxy in between.
 """
 
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -235,7 +235,7 @@
         ("least_clock_ms", "answer"),
         [(7, StartAnswer.STARTED), (8, StartAnswer.NOT_SENT)],
     )
-    def test_a_boot_that_does_not_name_itself_is_told_by_its_clock(
+    def test_a_boot_that_does_not_name_itself_is_checked_by_its_clock(
         self, least_clock_ms, answer
     ):
         """Guards against a start on a boot whose clock shows that it is a later one."""
